Add the control core: membership, ownership, grants, digests, configuration

A pure state machine owns the tables; time and messages are inputs. Pools of a zone go to the rendezvous winner of its serving instances; the next zone of the region adopts a third of the slots after the last grant, and every dispatch made under it, has run out, and the home zone uses that third only under a grant. So both sides of a cut stay within the slots without the platform.

--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,291 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"sycamoreledge.example/internal/work"
+)
+
+// member is what is known of a declared instance.
+type member struct {
+	incarnation   uint64
+	state         InstanceState
+	configVersion int64
+	successor     string
+
+	// heardAt is when a message last arrived directly. For partners, silence
+	// of one lease after it means failure.
+	heardAt time.Time
+	heard   bool // in this incarnation
+	failed  bool
+
+	// beatAt is when its newest heartbeat arrived, which says what it owns.
+	beatAt time.Time
+	// sentAt is the newest SentAt of its heartbeats, echoed to it.
+	sentAt int64
+	// ackedAt is the local time of our newest heartbeat that it echoed.
+	ackedAt time.Time
+	// grantedAt is the local time of our newest heartbeat that it answered
+	// with a grant.
+	grantedAt time.Time
+	// owned are the pools it dispatches to, by its newest heartbeat.
+	owned []int
+	// releasedAt is the SentAt of its newest release.
+	releasedAt int64
+
+	// The row of its digest.
+	sequence  uint64
+	pools     []PoolStatus
+	learnedAt time.Time
+	rowFailed bool
+	changedAt uint64
+
+	configSentAt  time.Time
+	configAskedAt time.Time
+}
+
+func newMembers(ix *index, start time.Time) []member {
+	members := make([]member, len(ix.instances))
+	for i := range members {
+		members[i].heardAt = start
+	}
+	return members
+}
+
+// heard notes a direct message. It reports false for a message of a process
+// that a newer one has replaced.
+func (c *Core) heard(from int, incarnation uint64) bool {
+	m := &c.members[from]
+	if incarnation < m.incarnation {
+		return false
+	}
+	if incarnation > m.incarnation {
+		c.replaceMember(from, incarnation)
+	}
+	if m.state == Left {
+		return false
+	}
+	if !m.heard || m.failed {
+		c.emit(Event{Kind: EventMemberUp, Instance: c.ix.instances[from].Name})
+		c.spread.touch(m)
+	}
+	m.heard = true
+	m.failed = false
+	m.heardAt = c.now
+	return true
+}
+
+// replaceMember resets the row of an instance whose process is a new one. The
+// pools of the former process stay blocked until its dispatches have ended.
+func (c *Core) replaceMember(i int, incarnation uint64) {
+	m := &c.members[i]
+	if m.heard && m.state != Left {
+		c.blockPoolsOf(i, m.heardAt)
+	}
+	*m = member{
+		incarnation: incarnation,
+		state:       Joining,
+		heardAt:     c.now,
+		learnedAt:   m.learnedAt,
+		changedAt:   m.changedAt,
+	}
+}
+
+// partner reports whether direct heartbeats are expected from the instance:
+// it is in the own zone, in the zone that adopts the own one, or in a zone that
+// the own one adopts.
+func (c *Core) partner(i int) bool {
+	z := c.ix.instances[i].zone
+	return i != c.self &&
+		(z == c.zone || z == c.ix.zones[c.zone].adopter || c.ix.zones[z].adopter == c.zone)
+}
+
+// detectFailures marks partners that have been silent for a lease.
+func (c *Core) detectFailures() {
+	for i := range c.members {
+		m := &c.members[i]
+		if m.failed || m.state == Left || !c.partner(i) {
+			continue
+		}
+		if c.now.Sub(m.heardAt) <= c.timing.Lease {
+			continue
+		}
+		m.failed = true
+		if m.heard {
+			c.emit(Event{Kind: EventMemberFailed, Instance: c.ix.instances[i].Name, Zone: c.zoneName(i)})
+		}
+		if c.ix.instances[i].zone == c.zone && m.heard {
+			c.blockPoolsOf(i, m.heardAt)
+		}
+		c.spread.touch(m)
+	}
+}
+
+// forgiveSilence restarts the silence of all partners: while this process did
+// not run it could not hear them.
+func (c *Core) forgiveSilence() {
+	for i := range c.members {
+		if !c.members[i].failed {
+			c.members[i].heardAt = c.now
+		}
+	}
+}
+
+// alive reports whether the instance can be expected to answer.
+func (c *Core) alive(i int) bool {
+	if i == c.self {
+		return c.state != Left
+	}
+	m := &c.members[i]
+	switch {
+	case m.state == Left || m.incarnation == 0:
+		return false
+	case c.partner(i):
+		return m.heard && !m.failed
+	default:
+		return !m.rowFailed && c.now.Sub(m.learnedAt) <= c.spread.timeout
+	}
+}
+
+// serving reports whether the instance may own pools.
+func (c *Core) serving(i int) bool {
+	if i == c.self {
+		return c.state == Serving
+	}
+	return c.alive(i) && c.members[i].state == Serving
+}
+
+// servingMates returns the instances of the own zone that may own pools.
+func (c *Core) servingMates() []int {
+	var mates []int
+	for _, i := range c.ix.zones[c.zone].instances {
+		if c.serving(i) {
+			mates = append(mates, i)
+		}
+	}
+	return mates
+}
+
+func (c *Core) onHeartbeat(from int, h *Heartbeat) {
+	m := &c.members[from]
+	if h.SentAt <= m.sentAt {
+		return // Datagrams may arrive out of order.
+	}
+	m.sentAt = h.SentAt
+	m.beatAt = c.now
+	if m.state != h.State {
+		m.state = h.State
+		c.emit(Event{Kind: EventMemberState, Instance: c.ix.instances[from].Name, State: h.State})
+		c.spread.touch(m)
+	}
+	if h.SentAt > m.releasedAt {
+		c.setOwned(from, h.Owned)
+	}
+	if h.EchoOf == c.identity.Incarnation {
+		c.noteEcho(m, h)
+	}
+	c.compareConfig(from, h.ConfigVersion)
+}
+
+// noteEcho records how recent our heartbeat is that the peer has seen. The
+// time of sending bounds its rights, so that delay only shortens them.
+func (c *Core) noteEcho(m *member, h *Heartbeat) {
+	at := c.start.Add(time.Duration(h.Echo))
+	if at.After(m.ackedAt) {
+		m.ackedAt = at
+	}
+	if h.Grant && at.After(m.grantedAt) {
+		m.grantedAt = at
+	}
+}
+
+// setOwned records the pools a peer dispatches to. A pool that it no longer
+// lists without a release may still have requests in flight.
+func (c *Core) setOwned(from int, owned []int) {
+	m := &c.members[from]
+	for _, p := range m.owned {
+		if !slices.Contains(owned, p) && p < len(c.pools) {
+			c.pools[p].block(from, c.now.Add(c.dispatchTimeout(p)))
+		}
+	}
+	m.owned = slices.Clone(owned)
+}
+
+// sendHeartbeats sends to the partners that are due, all at the same time.
+func (c *Core) sendHeartbeats() {
+	if c.now.Before(c.spread.nextHeartbeat) {
+		return
+	}
+	c.sendHeartbeatsNow()
+}
+
+func (c *Core) sendHeartbeatsNow() {
+	c.spread.nextHeartbeat = c.now.Add(c.timing.Heartbeat)
+	sentAt := c.monotonic()
+	for i := range c.members {
+		if !c.wantsHeartbeat(i) {
+			continue
+		}
+		m := &c.members[i]
+		c.send(i, Message{Heartbeat: &Heartbeat{
+			SentAt:        sentAt,
+			Echo:          m.sentAt,
+			EchoOf:        m.incarnation,
+			State:         c.state,
+			ConfigVersion: c.config.Version,
+			Grant:         c.grantTo(i),
+			Owned:         c.ownedIndexes(),
+		}})
+	}
+}
+
+// adopterRanks is how many instances of the adopting zone get heartbeats from
+// each instance of a zone: the one that adopts and the next in rank.
+const adopterRanks = 2
+
+// wantsHeartbeat limits heartbeats between zones to the instances that may
+// adopt, and to answers to those that asked.
+func (c *Core) wantsHeartbeat(i int) bool {
+	if !c.partner(i) {
+		return false
+	}
+	z := c.ix.instances[i].zone
+	if z == c.zone {
+		return true
+	}
+	if c.ix.zones[z].adopter == c.zone && c.members[i].heard && !c.members[i].failed {
+		return true
+	}
+	if z != c.ix.zones[c.zone].adopter {
+		return false
+	}
+	ranked := c.ix.rank(adopterKey(c.ix.zones[c.zone].name), c.liveOrDeclared(z))
+	return slices.Contains(ranked[:min(adopterRanks, len(ranked))], i)
+}
+
+// liveOrDeclared returns the instances of a zone not known to have failed, or
+// all of them when none is left.
+func (c *Core) liveOrDeclared(zone int) []int {
+	declared := c.ix.zones[zone].instances
+	var live []int
+	for _, i := range declared {
+		if !c.members[i].rowFailed && !c.members[i].failed && c.members[i].state != Left {
+			live = append(live, i)
+		}
+	}
+	if len(live) == 0 {
+		return declared
+	}
+	return live
+}
+
+func (c *Core) zoneName(i int) string { return c.ix.zones[c.ix.instances[i].zone].name }
+
+func (c *Core) dispatchTimeout(pool int) time.Duration {
+	return c.dispatchTimeoutOf(c.ix.pools[pool].id)
+}
+
+func (c *Core) dispatchTimeoutOf(id work.PoolID) time.Duration {
+	return c.spread.longest[id.Service]
+}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/work"
 )
@@ -15,7 +13,6 @@
 	From        string     `cbor:"1,keyasint"`
 	Incarnation uint64     `cbor:"2,keyasint"`
 	Heartbeat   *Heartbeat `cbor:"3,keyasint,omitempty"`
-	Ack         *Ack       `cbor:"4,keyasint,omitempty"`
 	Digest      *Digest    `cbor:"5,keyasint,omitempty"`
 	Config      *Config    `cbor:"6,keyasint,omitempty"`
 	Release     *Release   `cbor:"7,keyasint,omitempty"`
@@ -27,26 +24,24 @@
 	Value *settings.Config `cbor:"1,keyasint"`
 }
 
-// Heartbeat tells a peer that the sender is alive, and asks for an Ack.
+// Heartbeat tells a peer that the sender is alive. Heartbeats flow both ways
+// between partners, so that each also acknowledges the other's last one.
 type Heartbeat struct {
-	// SentAt is the sender's monotonic time in nanoseconds, echoed by the Ack.
-	SentAt        int64         `cbor:"1,keyasint"`
-	State         InstanceState `cbor:"2,keyasint"`
-	ConfigVersion int64         `cbor:"3,keyasint"`
-	// Successor names the instance that took over the sender's idempotency
-	// keys; it is set by a leaving instance.
-	Successor string `cbor:"4,keyasint,omitempty"`
-}
-
-// Ack answers a Heartbeat.
-type Ack struct {
-	// SentAt echoes the Heartbeat.
+	// SentAt is the sender's monotonic time in nanoseconds since its start.
 	SentAt int64 `cbor:"1,keyasint"`
+	// Echo is the newest SentAt that the sender has from the receiver, or 0.
+	Echo          int64         `cbor:"2,keyasint,omitempty"`
+	State         InstanceState `cbor:"3,keyasint"`
+	ConfigVersion int64         `cbor:"4,keyasint"`
 	// Grant permits the receiver to use all slots of its zone's pools for one
-	// lease after SentAt: the sender has not adopted them and will not before
+	// lease after Echo: the sender has not adopted them and will not before
 	// the grant has run out.
-	Grant         bool  `cbor:"2,keyasint"`
-	ConfigVersion int64 `cbor:"3,keyasint"`
+	Grant bool `cbor:"5,keyasint,omitempty"`
+	// Owned lists the pools that the sender dispatches to, as indexes into the
+	// pools of the topology in declared order.
+	Owned []int `cbor:"6,keyasint,omitempty"`
+	// EchoOf is the incarnation of the receiver that Echo belongs to.
+	EchoOf uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Digest describes one instance to others. Relays pass digests on to the
@@ -66,6 +61,9 @@
 	Successor     string        `cbor:"6,keyasint,omitempty"`
 	// Pools are the pools that the instance dispatches to.
 	Pools []PoolStatus `cbor:"7,keyasint,omitempty"`
+	// Failed is set by the instance's zone when it no longer hears it. An
+	// instance that hears this of itself raises its Sequence.
+	Failed bool `cbor:"8,keyasint,omitempty"`
 }
 
 // PoolStatus is the load of a pool as its owner counts it.
@@ -79,8 +77,10 @@
 }
 
 // Release gives up pools. It is repeated until the receiver owns them and
-// Busy is empty.
+// Busy is zero.
 type Release struct {
+	// SentAt orders a release among the sender's heartbeats.
+	SentAt int64 `cbor:"2,keyasint"`
 	// Pools lists the pools with the number of requests still in flight.
 	Pools []PoolStatus `cbor:"1,keyasint"`
 }
@@ -120,6 +120,3 @@
 		return "unknown"
 	}
 }
-
-// MonotonicTime is a reading of an instance's monotonic clock since its start.
-type MonotonicTime = time.Duration
--- /dev/null
+++ b/internal/control/ownership.go
@@ -0,0 +1,298 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"sycamoreledge.example/internal/work"
+)
+
+// ownedPool is the state of one pool as this instance may dispatch to it.
+type ownedPool struct {
+	owned   bool
+	adopted bool
+	// blocked holds, by instance, the time until which that instance's
+	// requests may still be in flight at the pool's upstreams.
+	blocked map[int]time.Time
+	// occupied counts, by former owner, the requests it still has in flight.
+	occupied map[int]occupancy
+	// releasing is set after this instance gave the pool up, until the next
+	// owner has it and nothing is in flight.
+	releasing bool
+	// lapsed is set while the grant for the reserved slots has run out.
+	lapsed bool
+}
+
+type occupancy struct {
+	count int
+	until time.Time
+}
+
+func newOwnedPools(ix *index) []ownedPool {
+	pools := make([]ownedPool, len(ix.pools))
+	for i := range pools {
+		pools[i].blocked = map[int]time.Time{}
+		pools[i].occupied = map[int]occupancy{}
+	}
+	return pools
+}
+
+// block keeps the pool from being taken before the time until.
+func (p *ownedPool) block(instance int, until time.Time) {
+	if until.After(p.blocked[instance]) {
+		p.blocked[instance] = until
+	}
+}
+
+// isBlocked forgets what has passed and reports whether anything is left.
+func (p *ownedPool) isBlocked(now time.Time) bool {
+	for instance, until := range p.blocked {
+		if !until.After(now) {
+			delete(p.blocked, instance)
+		}
+	}
+	return len(p.blocked) > 0
+}
+
+// occupiedBy returns the requests of former owners that are still in flight.
+func (p *ownedPool) occupiedBy(now time.Time) int {
+	total := 0
+	for instance, o := range p.occupied {
+		if !o.until.After(now) || o.count == 0 {
+			delete(p.occupied, instance)
+			continue
+		}
+		total += o.count
+	}
+	return total
+}
+
+// blockUnclean blocks the pools of the own zone for the former runs of the
+// given instances, of which it is not known that they stopped cleanly.
+func (c *Core) blockUnclean(names []string) {
+	for _, name := range names {
+		i, declared := c.ix.byName[name]
+		if !declared {
+			continue
+		}
+		for _, p := range c.ix.zones[c.zone].pools {
+			c.pools[p].block(i, c.start.Add(c.timing.Lease+c.dispatchTimeout(p)))
+		}
+	}
+}
+
+// blockPoolsOf blocks the pools that an instance of the own zone, last heard
+// at the time given, may still be dispatching to. The instance notices its own
+// pause within a lease and bounds each dispatch by the dispatch timeout.
+func (c *Core) blockPoolsOf(i int, heardAt time.Time) {
+	if c.ix.instances[i].zone != c.zone {
+		return
+	}
+	for _, p := range c.ix.zones[c.zone].pools {
+		if c.pools[p].owned || c.ownedByOther(p, i) {
+			continue
+		}
+		c.pools[p].block(i, heardAt.Add(c.timing.Lease+c.dispatchTimeout(p)))
+	}
+	c.members[i].owned = nil
+}
+
+// ownedByOther reports whether a live instance other than i lists the pool.
+func (c *Core) ownedByOther(p, i int) bool {
+	for _, other := range c.ix.zones[c.zone].instances {
+		if other != i && other != c.self && c.alive(other) && slices.Contains(c.members[other].owned, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// updateOwnership takes and gives up the pools of the own zone, so that each
+// has the owner that all members of the zone compute from the same view.
+func (c *Core) updateOwnership() {
+	if !c.owns() {
+		return
+	}
+	candidates := c.servingMates()
+	for _, p := range c.ix.zones[c.zone].pools {
+		winner := c.ix.best("pool/"+c.ix.pools[p].id.String(), candidates)
+		switch {
+		case c.pools[p].owned && winner >= 0 && winner != c.self:
+			c.release(p)
+		case !c.pools[p].owned && winner == c.self:
+			c.acquire(p)
+		}
+		c.noteLapse(p)
+	}
+}
+
+// acquire takes a pool once no other instance can be dispatching to it.
+func (c *Core) acquire(p int) {
+	pool := &c.pools[p]
+	if c.ownedByOther(p, c.self) || pool.isBlocked(c.now) {
+		return
+	}
+	pool.owned = true
+	pool.releasing = false
+	c.spread.hurry()
+	c.emit(Event{Kind: EventPoolOwned, Pool: c.ix.pools[p].id})
+}
+
+// release stops dispatching to a pool of the own zone. Requests in flight end
+// by themselves and are reported to the next owner.
+func (c *Core) release(p int) {
+	pool := &c.pools[p]
+	pool.owned = false
+	pool.lapsed = false
+	pool.releasing = true
+	c.spread.hurry()
+	c.emit(Event{Kind: EventPoolReleased, Pool: c.ix.pools[p].id})
+}
+
+// dropAllPools stops all dispatching at once.
+func (c *Core) dropAllPools() {
+	for p := range c.pools {
+		switch {
+		case !c.pools[p].owned:
+		case c.pools[p].adopted:
+			c.giveBack(p)
+		default:
+			c.release(p)
+		}
+	}
+}
+
+// noteLapse reports when the grant for the reserved slots runs out or returns.
+func (c *Core) noteLapse(p int) {
+	pool := &c.pools[p]
+	if !pool.owned || pool.adopted {
+		return
+	}
+	lapsed := !c.fullUntil().After(c.now)
+	if lapsed == pool.lapsed {
+		return
+	}
+	pool.lapsed = lapsed
+	kind := EventGrantRenewed
+	if lapsed {
+		kind = EventGrantLapsed
+	}
+	c.emit(Event{Kind: kind, Pool: c.ix.pools[p].id})
+}
+
+// sendReleases repeats the releases until the next owner lists the pool and
+// nothing is in flight here.
+func (c *Core) sendReleases() {
+	if c.now.Before(c.spread.nextHeartbeat) {
+		return
+	}
+	byOwner := map[int][]PoolStatus{}
+	candidates := slices.DeleteFunc(c.servingMates(), func(i int) bool { return i == c.self })
+	for _, p := range c.ix.zones[c.zone].pools {
+		pool := &c.pools[p]
+		if !pool.releasing {
+			continue
+		}
+		id := c.ix.pools[p].id
+		next := c.ix.best("pool/"+id.String(), candidates)
+		if next < 0 {
+			continue
+		}
+		busy := c.load[p].Busy
+		if busy == 0 && slices.Contains(c.members[next].owned, p) {
+			pool.releasing = false
+			continue
+		}
+		byOwner[next] = append(byOwner[next], PoolStatus{Pool: id, Busy: busy})
+	}
+	for _, next := range sortedKeys(byOwner) {
+		c.send(next, Message{Release: &Release{SentAt: c.monotonic(), Pools: byOwner[next]}})
+	}
+}
+
+// onRelease unblocks the pools that the sender gave up and counts what it
+// still has in flight against the slots.
+func (c *Core) onRelease(from int, r *Release) {
+	m := &c.members[from]
+	if c.ix.instances[from].zone != c.zone || r.SentAt < m.releasedAt {
+		return
+	}
+	m.releasedAt = r.SentAt
+	for _, status := range r.Pools {
+		p, known := c.ix.byPool[status.Pool]
+		if !known || c.ix.pools[p].zone != c.zone {
+			continue
+		}
+		m.owned = slices.DeleteFunc(m.owned, func(owned int) bool { return owned == p })
+		delete(c.pools[p].blocked, from)
+		c.pools[p].occupied[from] = occupancy{
+			count: status.Busy,
+			until: c.now.Add(c.dispatchTimeout(p)),
+		}
+	}
+}
+
+// baseUntil bounds the use of any slot: a live instance of the own zone that
+// has not acknowledged for a lease may have taken over.
+func (c *Core) baseUntil() time.Time {
+	until := c.now.Add(MaxSnapshotAge)
+	for _, i := range c.ix.zones[c.zone].instances {
+		if i == c.self || !c.alive(i) || c.members[i].state != Serving {
+			continue
+		}
+		if acked := c.members[i].ackedAt.Add(c.timing.Lease); acked.Before(until) {
+			until = acked
+		}
+	}
+	return until
+}
+
+// fullUntil bounds the use of the reserved slots by the newest grant of the
+// adopting zone.
+func (c *Core) fullUntil() time.Time {
+	adopter := c.ix.zones[c.zone].adopter
+	if adopter < 0 || len(c.ix.zones[adopter].instances) == 0 {
+		return c.now.Add(c.timing.Lease)
+	}
+	var granted time.Time
+	for _, i := range c.ix.zones[adopter].instances {
+		if at := c.members[i].grantedAt; at.After(granted) {
+			granted = at
+		}
+	}
+	if granted.IsZero() {
+		return time.Time{}
+	}
+	return granted.Add(c.timing.Lease)
+}
+
+// ownedIndexes lists the pools this instance dispatches to.
+func (c *Core) ownedIndexes() []int {
+	var owned []int
+	for p := range c.pools {
+		if c.pools[p].owned {
+			owned = append(owned, p)
+		}
+	}
+	return owned
+}
+
+// grants builds the rights for the snapshot.
+func (c *Core) grants() map[work.PoolID]Grant {
+	grants := map[work.PoolID]Grant{}
+	base, full := c.baseUntil(), c.fullUntil()
+	for p := range c.pools {
+		pool := &c.pools[p]
+		if !pool.owned {
+			continue
+		}
+		g := Grant{BaseUntil: base, Occupied: pool.occupiedBy(c.now), Adopted: pool.adopted}
+		if pool.adopted {
+			g.BaseUntil = c.now.Add(MaxSnapshotAge)
+		} else {
+			g.FullUntil = full
+		}
+		grants[c.ix.pools[p].id] = g
+	}
+	return grants
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -7,6 +7,10 @@
 	"sycamoreledge.example/internal/work"
 )
 
+// MaxSnapshotAge is the age at which a snapshot no longer permits dispatches:
+// the control loop has not run, so the process was paused or is overloaded.
+const MaxSnapshotAge = time.Second
+
 // Snapshot is an immutable view of the control tables. The control loop
 // publishes a new one each tick; traffic reads it without locks.
 type Snapshot struct {
@@ -32,6 +36,8 @@
 	LeavingUpstreams map[string]bool
 	// DrainedZones get no new work.
 	DrainedZones map[string]bool
+	// Watcher is set where this instance watches the platform for its zone.
+	Watcher bool
 	// Successors maps an instance that left, with its incarnation, to the
 	// instance that holds its idempotency keys.
 	Successors map[Identity]string
