--- a/internal/settings/topology.go
+++ b/internal/settings/topology.go
@@ -1,6 +1,10 @@
 package settings
 
-import "sycamoreledge.example/internal/work"
+import (
+	"time"
+
+	"sycamoreledge.example/internal/work"
+)
 
 // Topology is the declared deployment of one firm: it is the same file on all
 // instances. Limits are computed from what is declared here and not from what
@@ -41,6 +45,9 @@
 	Name  string    `yaml:"name" validate:"required"`
 	Kind  work.Kind `yaml:"kind" validate:"required,oneof=lookup order upload"`
 	Pools []Pool    `yaml:"pools" validate:"required,dive"`
+	// ServiceTime is the mean time for which a request holds a slot, against
+	// which presets are checked. Without it a time is assumed by kind.
+	ServiceTime time.Duration `yaml:"service_time" validate:"gte=0"`
 }
 
 // Pool is the upstreams of a service in one zone.
