--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,9 @@
 	Throttled = errs.Class("throttled")
 	// Unavailable means that no answer arrived; an update may have taken effect.
 	Unavailable = errs.Class("unavailable")
+	// NotSent means that the platform was not reached and that the call had no
+	// effect.
+	NotSent = errs.Class("not sent")
 	// Invalid means that the call itself is malformed, such as a value over
 	// MaxValueBytes.
 	Invalid = errs.Class("invalid")
@@ -28,6 +31,10 @@
 // MaxValueBytes is the largest value of an object.
 const MaxValueBytes = 1 << 20
 
+// OutOfReach reports whether an error says that the platform gave no answer,
+// whether or not an update took effect.
+func OutOfReach(err error) bool { return Unavailable.Has(err) || NotSent.Has(err) }
+
 // Object is a versioned value. Versions grow with every update of any object.
 type Object struct {
 	Key     string `json:"key"`
