--- a/internal/lab/firm/firm.go
+++ b/internal/lab/firm/firm.go
@@ -51,6 +51,18 @@
 	// Connections is the largest number of connections of one upstream.
 	Connections int           `yaml:"connections" json:"connections"`
 	Services    []ServiceTime `yaml:"services" json:"services"`
+	Neighbours  Neighbours    `yaml:"neighbours" json:"neighbours"`
+}
+
+// Neighbours describes slow-downs that come from other tenants of the
+// upstreams' machines.
+type Neighbours struct {
+	// Interval is the mean time between two slow-downs of one upstream; 0 is
+	// never.
+	Interval time.Duration `yaml:"interval" json:"interval"`
+	Duration time.Duration `yaml:"duration" json:"duration"`
+	// Factor multiplies the service time meanwhile.
+	Factor float64 `yaml:"factor" json:"factor"`
 }
 
 // ServiceTime describes how long the upstreams of a service take.
