Add the stand-in of the callers

Load has to be open loop, or a slow answer hides the requests that would have come meanwhile. An answer that breaks off is told apart from one that looks whole and is not.

--- /dev/null
+++ b/internal/lab/caller/stats.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sycamoreledge.example/internal/work"
+)
+
+// Range and precision of the recorded latencies, in microseconds.
+const (
+	minLatency = 1
+	maxLatency = 120_000_000
+	digits     = 3
+)
+
+// Totals are the counts of one service.
+type Totals struct {
+	Service string    `json:"service"`
+	Kind    work.Kind `json:"kind"`
+	Sent    int64     `json:"sent"`
+	Run     int64     `json:"run"`
+	NotRun  int64     `json:"not_run"`
+	Unknown int64     `json:"unknown"`
+	// Attempts counts all requests sent for the operations.
+	Attempts int64 `json:"attempts"`
+	// Refusals counts the attempts that were told not run.
+	Refusals int64 `json:"refusals"`
+	Bad      int64 `json:"bad"`
+	Cut      int64 `json:"cut"`
+	// Unlabelled counts answers without an outcome.
+	Unlabelled int64 `json:"unlabelled"`
+	Late       int64 `json:"late"`
+	// Skipped counts operations not started for want of room, and NoKey those
+	// for want of a key.
+	Skipped int64 `json:"skipped"`
+	NoKey   int64 `json:"no_key"`
+	// P50 to Max are latencies of the operations that were run, from their
+	// intended start, with retries.
+	P50  time.Duration `json:"p50"`
+	P99  time.Duration `json:"p99"`
+	P999 time.Duration `json:"p999"`
+	Max  time.Duration `json:"max"`
+}
+
+// series is the counts of a service with the latencies.
+type series struct {
+	totals Totals
+	hist   *hdrhistogram.Histogram
+}
+
+// stats collects totals by service.
+type stats struct {
+	mu       sync.Mutex
+	total    map[string]*series
+	interval map[string]*series
+}
+
+// newStats returns empty totals.
+func newStats() *stats {
+	return &stats{total: map[string]*series{}, interval: map[string]*series{}}
+}
+
+// add applies f to the totals and the interval of a service. A positive
+// latency is recorded.
+func (s *stats) add(service string, kind work.Kind, latency time.Duration, f func(*Totals)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range []map[string]*series{s.total, s.interval} {
+		x := m[service]
+		if x == nil {
+			x = &series{totals: Totals{Service: service, Kind: kind}, hist: hdrhistogram.New(minLatency, maxLatency, digits)}
+			m[service] = x
+		}
+		f(&x.totals)
+		if latency > 0 {
+			_ = x.hist.RecordValue(min(latency.Microseconds(), maxLatency))
+		}
+	}
+}
+
+// finished counts the end of an operation.
+func (s *stats) finished(op *Op, intended time.Time) {
+	var latency time.Duration
+	if op.Outcome == work.Run {
+		latency = op.End.Sub(intended)
+	}
+	s.add(op.Service, op.Kind, latency, func(t *Totals) {
+		t.Attempts += int64(op.Attempts)
+		t.Refusals += int64(len(op.NotRun))
+		t.Cut += int64(op.Cut)
+		t.Unlabelled += int64(op.Unlabelled)
+		if op.Bad != "" {
+			t.Bad++
+		}
+		if op.Late {
+			t.Late++
+		}
+		switch op.Outcome {
+		case work.Run:
+			t.Run++
+		case work.NotRun:
+			t.NotRun++
+		default:
+			t.Unknown++
+		}
+	})
+}
+
+// summarize returns the totals in a fixed order.
+func summarize(m map[string]*series) []Totals {
+	var out []Totals
+	for _, x := range m {
+		t := x.totals
+		at := func(q float64) time.Duration { return time.Duration(x.hist.ValueAtQuantile(q)) * time.Microsecond }
+		t.P50, t.P99, t.P999 = at(50), at(99), at(99.9)
+		t.Max = time.Duration(x.hist.Max()) * time.Microsecond
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// takeInterval returns the totals since the last call.
+func (s *stats) takeInterval() []Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := summarize(s.interval)
+	s.interval = map[string]*series{}
+	return out
+}
+
+// totals returns the totals since the start.
+func (s *stats) totals() []Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return summarize(s.total)
+}
