--- a/internal/lab/upstream/zone.go
+++ b/internal/lab/upstream/zone.go
@@ -87,6 +87,7 @@
 func (z *Zone) Control() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /lab/ledger", z.serveLedger)
+	mux.HandleFunc("GET /lab/counts", z.serveCounts)
 	mux.HandleFunc("POST /lab/upstreams/{name}", z.serveFault)
 	mux.HandleFunc("POST /lab/upstreams/{name}/restart", z.serveRestart)
 	return mux
@@ -94,13 +95,21 @@
 
 // Ledger returns what the upstreams did so far.
 func (z *Zone) Ledger() Ledger {
-	l := Ledger{Records: z.records.list()}
+	return Ledger{Upstreams: z.counts(), Records: z.records.list()}
+}
+
+// counts returns the totals of all upstreams.
+func (z *Zone) counts() []Counts {
+	var all []Counts
 	for _, s := range z.order {
-		l.Upstreams = append(l.Upstreams, s.Counts())
+		all = append(all, s.Counts())
 	}
-	return l
+	return all
 }
 
+// serveCounts sends the totals.
+func (z *Zone) serveCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, z.counts()) }
+
 // serveLedger sends the ledger.
 func (z *Zone) serveLedger(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, z.Ledger())
