Add the operators' client and the bodies of the HTTP interfaces

The client tries the given instances in turn: one that cannot be reached, or that answers with a server error, is followed by the next under the same operation id, so that a change that took effect behind a lost answer is not made twice. Answers such as a conflict or a refusal are final. It speaks HTTPS only, since it sends a credential, and net/http, which honours deadlines.

The planned stop goes to the named instance itself, at the address that the status tells. The JSON bodies are a package of their own, so that the client does not depend on the servers.

go test -race ./internal/client passes.

--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,186 @@
+package client_test
+
+import (
+	"context"
+	"encoding/json"
+	"encoding/pem"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/api/wire"
+	"sycamoreledge.example/internal/client"
+	"sycamoreledge.example/internal/settings"
+)
+
+const token = "token of the test"
+
+// instance is a fake operators' listener that records what it was sent.
+type instance struct {
+	*httptest.Server
+	requests []*http.Request
+	bodies   []string
+}
+
+func newInstance(t *testing.T, status int, answer any) *instance {
+	t.Helper()
+	i := &instance{}
+	i.Server = httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		i.requests = append(i.requests, r)
+		i.bodies = append(i.bodies, string(body))
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(answer) //nolint:errcheck // the client sees it
+	}))
+	t.Cleanup(i.Close)
+	return i
+}
+
+// caFile writes the authority of the test servers, which they all share.
+func caFile(t *testing.T, i *instance) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: i.Certificate().Raw}
+	if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func newClient(t *testing.T, ca string, endpoints ...string) *client.Client {
+	t.Helper()
+	c, err := client.New(client.Options{Endpoints: endpoints, Token: token, CAFile: ca})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return c
+}
+
+// closedEndpoint returns an address on which nothing listens.
+func closedEndpoint(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return ln.Addr().String()
+}
+
+func TestNextEndpointIsTried(t *testing.T) {
+	conflict := wire.Error{Code: wire.CodeConflict, Message: "another change was first"}
+	down := wire.Error{Code: wire.CodeUnavailable, Message: "the platform is unreachable"}
+	ok := wire.Changed{Version: 7, InForce: "peak"}
+	cases := []struct {
+		name          string
+		first, second int
+		answer        any
+		wantSecond    int // requests at the second instance
+		wantCode      string
+	}{
+		{"answer of the first stands", 200, 200, ok, 0, ""},
+		{"conflict is final", 409, 200, conflict, 0, wire.CodeConflict},
+		{"refusal is final", 403, 200, wire.Error{Code: wire.CodeUnauthorized}, 0, wire.CodeUnauthorized},
+		{"unavailable goes on", 503, 200, down, 1, ""},
+		{"both unavailable", 503, 503, down, 1, wire.CodeUnavailable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			second := any(ok)
+			if tc.second != 200 {
+				second = tc.answer
+			}
+			a, b := newInstance(t, tc.first, tc.answer), newInstance(t, tc.second, second)
+			c := newClient(t, caFile(t, a), a.URL, b.URL)
+			changed, err := c.Use(t.Context(), client.Change{Operation: "op"}, "peak")
+			g.Expect(b.requests).To(gomega.HaveLen(tc.wantSecond))
+			if tc.wantCode == "" {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(changed.Version).To(gomega.BeEquivalentTo(7))
+				return
+			}
+			var api *client.APIError
+			g.Expect(err).To(gomega.BeAssignableToTypeOf(api))
+			g.Expect(err.(*client.APIError).Answer.Code).To(gomega.Equal(tc.wantCode))
+		})
+	}
+}
+
+func TestUnreachableEndpointIsSkippedUnderTheSameOperation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := newInstance(t, 200, wire.Changed{Version: 3})
+	c := newClient(t, caFile(t, live), closedEndpoint(t), live.URL)
+	change := client.Change{Operation: client.NewOperation(), IfVersion: 2}
+	_, err := c.Drain(t.Context(), change, settings.Drain{Kind: settings.DrainZone, Name: "z1"}, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	sent := live.requests[0]
+	g.Expect(sent.Header.Get(wire.HeaderOperation)).To(gomega.Equal(change.Operation))
+	g.Expect(sent.Header.Get(wire.HeaderIfVersion)).To(gomega.Equal("2"))
+	g.Expect(sent.Header.Get("Authorization")).To(gomega.Equal("Bearer " + token))
+	g.Expect(live.bodies[0]).To(gomega.MatchJSON(`{"kind":"zone","name":"z1"}`))
+}
+
+func TestNoEndpointAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newClient(t, "", closedEndpoint(t), closedEndpoint(t))
+	_, err := c.Status(t.Context(), false)
+	g.Expect(client.Unreachable.Has(err)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(err.Error()).To(gomega.ContainSubstring("connection refused"))
+}
+
+func TestUnknownAuthorityIsUnreachable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := newInstance(t, 200, wire.Status{})
+	c := newClient(t, "", live.URL)
+	_, err := c.Status(t.Context(), false)
+	g.Expect(client.Unreachable.Has(err)).To(gomega.BeTrue())
+	g.Expect(live.requests).To(gomega.BeEmpty(), "the credential is not sent")
+}
+
+func TestConflictShowsTheWinner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	winner := wire.Conflict{Version: 9, InForce: "peak", Winner: &settings.AuditRecord{Operator: "ada"}}
+	detail, err := json.Marshal(winner)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	live := newInstance(t, 409, wire.Error{Code: wire.CodeConflict, Message: "m", Detail: detail})
+	c := newClient(t, caFile(t, live), live.URL)
+	_, err = c.Use(context.Background(), client.Change{Operation: "op"}, "calm")
+	got, ok := err.(*client.APIError).Conflict()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(got).To(gomega.Equal(winner))
+}
+
+func TestLeaveGoesToTheInstanceItself(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := newInstance(t, 200, wire.Leaving{Instance: "e2", State: "leaving"})
+	status := wire.Status{Entries: []wire.EntryStatus{{Name: "e2", Operators: target.Listener.Addr().String()}}}
+	asked := newInstance(t, 200, status)
+	c := newClient(t, caFile(t, asked), asked.URL)
+	_, err := c.Leave(t.Context(), client.Change{Operation: "op"}, "e2")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(target.requests[0].URL.Path).To(gomega.Equal("/v1/leave"))
+	_, err = c.Leave(t.Context(), client.Change{Operation: "op"}, "e9")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(`"e9"`)))
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	cases := map[string]client.Options{
+		"no endpoint":  {},
+		"no port":      {Endpoints: []string{"127.0.0.1"}},
+		"plain http":   {Endpoints: []string{"http://127.0.0.1:80"}},
+		"no authority": {Endpoints: []string{"127.0.0.1:80"}, CAFile: "/does/not/exist"},
+	}
+	for name, opts := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := client.New(opts)
+			gomega.NewWithT(t).Expect(client.Error.Has(err)).To(gomega.BeTrue())
+		})
+	}
+}
