Send attempts to upstreams with exact outcomes

An attempt is not run when no byte of it was handed to the connection, when the connection was refused, or when the upstream shed it with the marker and the identity of the request. All else without a whole answer is unknown.

net/http sends a request again by itself on a dead reused connection when it has no body and either an idempotent method or an Idempotency-Key header. The body given is therefore never nil and can't be rewound.

--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,197 @@
+// Package upstream sends single attempts to upstreams over HTTP/1.1 and reports
+// their outcomes exactly: whether the upstream ran the request, did not run it,
+// or may have run it.
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sycamoreledge.example/internal/work"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("upstream")
+
+// Headers between the system and upstreams.
+const (
+	HeaderRequestID   = "Request-Id"
+	HeaderDeadline    = "Deadline-Unix-Ms"
+	HeaderKey         = "Idempotency-Key"
+	HeaderKind        = "Work-Kind"
+	HeaderNotRun      = "Work-Not-Run"
+	HeaderDigest      = "Content-Digest"
+	notRunMarkerValue = "true"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	idleTimeout      = 20 * time.Second
+	maxHeaderBytes   = 64 << 10
+	maxHealthBytes   = 4 << 10
+	spareConnections = 2 // beside those of the slots, for cancelled requests
+)
+
+// Health is what an upstream says of itself.
+type Health string
+
+// The answers of the health endpoint.
+const (
+	Live    Health = "live"
+	Leaving Health = "leaving"
+	Cold    Health = "cold"
+)
+
+// Target is an upstream to send to.
+type Target struct {
+	Name    string
+	Address string // IP:port
+	Slots   int
+}
+
+// Result is the result of one attempt.
+type Result struct {
+	Response *work.Response
+	// Silent is set when the upstream may still be working on the attempt: it
+	// was given up, or its connection broke, after it had been sent.
+	Silent bool
+	// Open is set when the body of the answer is still being received.
+	Open bool
+}
+
+// Client sends attempts to upstreams. It is safe for concurrent use.
+type Client struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport // by address
+	probes     *http.Transport
+}
+
+// NewClient returns a client that connects with dial, or with a net.Dialer when
+// dial is nil.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		dial = dialer.DialContext
+	}
+	return &Client{
+		dial:       dial,
+		transports: make(map[string]*http.Transport),
+		probes: &http.Transport{
+			DialContext:       dial,
+			DisableKeepAlives: true,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
+	}
+}
+
+// transport returns the bounded connections to one upstream.
+func (c *Client) transport(t Target) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rt, ok := c.transports[t.Address]; ok {
+		return rt
+	}
+	rt := &http.Transport{
+		DialContext:            c.countedDial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    t.Slots,
+		MaxConnsPerHost:        t.Slots + spareConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ForceAttemptHTTP2:      false,
+	}
+	c.transports[t.Address] = rt
+	return rt
+}
+
+// Probe asks an upstream for its health.
+func (c *Client) Probe(ctx context.Context, t Target) (Health, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+"/healthz", nil)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	resp, err := c.probes.RoundTrip(req)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	var health struct {
+		State Health `json:"state"`
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&health)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	switch health.State {
+	case Live, Leaving, Cold:
+		return health.State, nil
+	default:
+		return "", Error.New("health state %q", health.State)
+	}
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// httpRequest builds the request of one attempt. Its body is never nil and has
+// no GetBody, so that net/http can't send it a second time by itself.
+func httpRequest(ctx context.Context, t Target, req *work.Request, body io.Reader, deadline time.Time) (*http.Request, error) {
+	path := req.Path
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+t.Address+path, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if req.Header != nil {
+		out.Header = req.Header.Clone()
+	}
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
+	}
+	out.Header.Set(HeaderRequestID, req.ID)
+	out.Header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
+	out.Header.Set(HeaderKind, string(req.Kind))
+	out.Header.Del(HeaderKey)
+	if req.Key != "" {
+		out.Header.Set(HeaderKey, req.Key)
+	}
+	setBody(out, body, req.Length)
+	return out, nil
+}
+
+// setBody sets the body. An empty one is sent without any framing header,
+// which HTTP/1.1 defines as a length of 0.
+func setBody(out *http.Request, body io.Reader, length int64) {
+	if body == nil || length == 0 {
+		out.Body = io.NopCloser(strings.NewReader(""))
+		out.ContentLength = 0
+		out.TransferEncoding = []string{"identity"}
+		return
+	}
+	out.Body = io.NopCloser(body)
+	out.ContentLength = length
+}
