--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -7,6 +7,10 @@
 	"sycamoreledge.example/internal/work"
 )
 
+// MaxSnapshotAge is the age at which a snapshot no longer permits a dispatch:
+// the control loop missed so many ticks that the process must have been paused.
+const MaxSnapshotAge = time.Second
+
 // Snapshot is an immutable view of the control tables. The control loop
 // publishes a new one each tick; traffic reads it without locks.
 type Snapshot struct {
--- /dev/null
+++ b/internal/traffic/owner/serve.go
@@ -0,0 +1,211 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"sycamoreledge.example/internal/replay"
+	"sycamoreledge.example/internal/upstream"
+	"sycamoreledge.example/internal/work"
+)
+
+// maxAttempts bounds the attempts of one request at this owner.
+const maxAttempts = 3
+
+// Serve runs a request on the pool that it names and returns its outcome. The
+// body of the response must be closed; until then its slot stays occupied.
+func (o *Owner) Serve(ctx context.Context, req *work.Request) *work.Response {
+	resp := o.serve(ctx, req)
+	switch resp.Outcome {
+	case work.Run:
+		o.stats.Run.Add(1)
+	case work.NotRun:
+		o.stats.NotRun.Add(1)
+	default:
+		o.stats.Unknown.Add(1)
+	}
+	return resp
+}
+
+func (o *Owner) serve(ctx context.Context, req *work.Request) *work.Response {
+	p := o.pools[req.Pool]
+	if p == nil {
+		return work.Refuse(work.ReasonUnknownService, 0)
+	}
+	body := replay.New(req.Body)
+	var last *work.Response
+	for attempt := 1; ; attempt++ {
+		s, refusal := p.admit(ctx, req)
+		if refusal != nil {
+			return worse(last, refusal)
+		}
+		resp := p.run(ctx, s, req, body)
+		last = worse(last, resp)
+		if resp.Outcome == work.Run {
+			return resp
+		}
+		if attempt == maxAttempts || !p.mayRetry(ctx, req, resp, body) {
+			return last
+		}
+	}
+}
+
+// worse returns the response that stands for two attempts: an earlier attempt
+// that may have run is not undone by a later one that did not.
+func worse(earlier, later *work.Response) *work.Response {
+	if earlier != nil && earlier.Outcome == work.Unknown && later.Outcome == work.NotRun {
+		return earlier
+	}
+	return later
+}
+
+// mayRetry decides on a further attempt, and counts it.
+func (p *pool) mayRetry(ctx context.Context, req *work.Request, resp *work.Response, body *replay.Body) bool {
+	switch resp.Reason {
+	case work.ReasonNoUpstream, work.ReasonUpstreamConnect, work.ReasonUpstreamShed, work.ReasonUpstreamBroken, work.ReasonUpstreamTimeout:
+	default:
+		return false
+	}
+	if resp.Outcome == work.Unknown && !req.Kind.Idempotent() {
+		return false
+	}
+	if ctx.Err() != nil || !body.Replayable() {
+		return false
+	}
+	p.mu.Lock()
+	ok := p.retries.spend()
+	p.mu.Unlock()
+	if ok {
+		p.owner.stats.Retries.Add(1)
+	}
+	return ok
+}
+
+// run sends one attempt in the slot and releases the slot when the exchange is
+// over.
+func (p *pool) run(ctx context.Context, s *slot, req *work.Request, body *replay.Body) *work.Response {
+	reader, ok := body.Next()
+	if !ok {
+		s.release(ending{})
+		return work.Refuse(work.ReasonBadRequest, 0)
+	}
+	defer reader.Detach()
+	may := p.owner.permit(p)
+	if refusal := p.recheck(may, s.row); refusal != nil {
+		s.release(ending{})
+		return refusal
+	}
+	if !req.Kind.Idempotent() {
+		// Work with an effect is followed to its end, so that its outcome is
+		// known also when the caller left.
+		ctx = context.WithoutCancel(ctx)
+	}
+	deadline := may.now.Add(may.policy.DispatchTimeout)
+	if req.Deadline.Before(deadline) {
+		deadline = req.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	p.count(may)
+	result := p.owner.upstreams.Do(ctx, s.row.target, req, reader, deadline)
+	if !result.Open {
+		cancel()
+		p.conclude(s, result)
+		return result.Response
+	}
+	result.Response.Body = newOpenBody(ctx, cancel, result.Response.Body, s)
+	return result.Response
+}
+
+// recheck returns a refusal when the right to dispatch was lost since the slot
+// was given, such as by a pause of the process.
+func (p *pool) recheck(may permit, r *row) *work.Response {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !may.owned:
+		return work.Refuse(work.ReasonNotOwner, 0)
+	case !may.fresh:
+		return work.Refuse(work.ReasonNotReady, 0)
+	case r.allowed(may) == 0:
+		return work.Refuse(work.ReasonNoUpstream, 0)
+	default:
+		return nil
+	}
+}
+
+// count notes a dispatch for the budgets.
+func (p *pool) count(may permit) {
+	p.owner.stats.Dispatches.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retries.earn(may.policy.RetryBudget)
+	p.hedges.earn(may.policy.HedgeBudget)
+}
+
+// conclude releases the slot of an attempt and applies what it shows of the
+// upstream.
+func (p *pool) conclude(s *slot, result upstream.Result) {
+	resp := result.Response
+	p.mu.Lock()
+	if trigger := symptom(resp); trigger != "" {
+		s.row.fire(trigger)
+	}
+	if resp.Reason == work.ReasonUpstreamShed {
+		s.row.shedUntil = time.Now().Add(shedPause)
+	}
+	p.mu.Unlock()
+	s.release(ending{
+		answered: resp.Outcome == work.Run,
+		silent:   result.Silent,
+		late:     resp.Outcome == work.Unknown && resp.Reason != work.ReasonUpstreamBroken,
+	})
+}
+
+// symptom returns what a failed attempt tells of the upstream, or "".
+func symptom(resp *work.Response) stateTrigger {
+	switch {
+	case resp.Reason == work.ReasonUpstreamConnect:
+		return triggerRefused
+	case resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamTimeout,
+		resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamBroken:
+		return triggerSilent
+	default:
+		return ""
+	}
+}
+
+// openBody is the body of an answer that is still being received. The slot is
+// released when it ends, is closed, or the deadline of the dispatch passes.
+type openBody struct {
+	io.ReadCloser
+	finish func(whole bool)
+}
+
+func newOpenBody(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, s *slot) io.ReadCloser {
+	var once sync.Once
+	finish := func(whole bool) {
+		once.Do(func() {
+			cancel()
+			s.release(ending{answered: whole, silent: !whole, late: !whole})
+		})
+	}
+	context.AfterFunc(ctx, func() { finish(false) })
+	return &openBody{ReadCloser: body, finish: finish}
+}
+
+// Read implements io.Reader.
+func (b *openBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.finish(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *openBody) Close() error {
+	b.finish(false)
+	return b.ReadCloser.Close()
+}
