Hedge slow lookups at a second upstream

A lookup that takes longer than the preset's quantile of recent durations is sent to another upstream when a slot is free, no request waits and the budget permits it. The body is read whole before the first attempt takes a slot.

--- a/internal/traffic/owner/estimate.go
+++ b/internal/traffic/owner/estimate.go
@@ -30,6 +30,9 @@
 	old     *hdrhistogram.Histogram
 	median  time.Duration // of recent
 	cached  time.Duration // the high quantile
+	hedge   time.Duration // the quantile asked for last
+	asked   float64       // percent
+	askedAt int           // count at that time
 }
 
 // add records a duration.
@@ -81,6 +84,15 @@
 	return time.Duration(h.ValueAtQuantile(percent)) * histogramUnit
 }
 
+// delay returns the quantile after which a hedge starts, or 0 while too little
+// is known. It is computed anew after some more durations.
+func (e *estimate) delay(percent float64) time.Duration {
+	if e.asked != percent || e.count-e.askedAt >= minQuantileData {
+		e.hedge, e.asked, e.askedAt = e.quantile(percent), percent, e.count
+	}
+	return e.hedge
+}
+
 // typical is the median of the last few durations: a few stragglers don't move
 // it, while a slow-down moves it after a handful of answers.
 func (e *estimate) typical() time.Duration { return e.median }
--- /dev/null
+++ b/internal/traffic/owner/hedge.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"sycamoreledge.example/internal/replay"
+	"sycamoreledge.example/internal/work"
+)
+
+// minHedgeDelay keeps hedges off work that is over before they start.
+const minHedgeDelay = time.Millisecond
+
+// runHedged sends an idempotent request in the slot, and again to another
+// upstream when it takes longer than the quantile of the preset. The first
+// whole answer wins and the other attempt is cancelled; its answer goes nowhere.
+func (p *pool) runHedged(ctx context.Context, s *slot, req *work.Request, body *replay.Body, reader io.Reader) *work.Response {
+	first, refusal := p.begin(ctx, s, req)
+	if refusal != nil {
+		return refusal
+	}
+	results := make(chan *work.Response, 2)
+	go func() { results <- first.do(req, reader) }()
+	timer := time.NewTimer(p.hedgeDelay())
+	defer timer.Stop()
+	var second *attempt
+	var last *work.Response
+	for pending := 1; pending > 0; {
+		select {
+		case resp := <-results:
+			pending--
+			if resp.Outcome == work.Run {
+				p.settle(resp, s, first, second)
+				go discard(results, pending)
+				return resp
+			}
+			last = worse(last, resp)
+		case <-timer.C:
+			if second = p.startHedge(ctx, s, req); second == nil {
+				continue
+			}
+			again, _ := body.Shared()
+			pending++
+			go func() { results <- second.do(req, again) }()
+		}
+	}
+	return last
+}
+
+// settle cancels the attempt that did not win.
+func (p *pool) settle(won *work.Response, s *slot, first, second *attempt) {
+	if second == nil {
+		return
+	}
+	if won.Upstream == s.row.target.Name {
+		second.cancel()
+		return
+	}
+	p.owner.stats.HedgeWins.Add(1)
+	first.cancel()
+}
+
+// discard closes the answers of attempts that did not win.
+func discard(results <-chan *work.Response, pending int) {
+	for range pending {
+		if resp := <-results; resp.Body != nil {
+			resp.Body.Close()
+		}
+	}
+}
+
+// hedgeDelay is the time after which a second attempt starts.
+func (p *pool) hedgeDelay() time.Duration {
+	const never = 24 * time.Hour
+	may := p.owner.permit(p)
+	if may.policy == nil || may.policy.HedgeQuantile == 0 {
+		return never
+	}
+	p.mu.Lock()
+	delay := p.service.delay(may.policy.HedgeQuantile * 100)
+	p.mu.Unlock()
+	if delay == 0 {
+		return never
+	}
+	return max(delay, minHedgeDelay)
+}
+
+// startHedge takes a slot at another upstream when the budget permits it, one is
+// free, and no request waits for it. It returns nil otherwise.
+func (p *pool) startHedge(ctx context.Context, first *slot, req *work.Request) *attempt {
+	may := p.owner.permit(p)
+	s := p.hedgeSlot(may, first, req)
+	if s == nil {
+		return nil
+	}
+	a, refusal := p.begin(ctx, s, req)
+	if refusal != nil {
+		return nil
+	}
+	p.owner.stats.Hedges.Add(1)
+	return a
+}
+
+func (p *pool) hedgeSlot(may permit, first *slot, req *work.Request) *slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse(may, req) != nil || !may.fresh || p.waiting.Len() > 0 {
+		return nil
+	}
+	r := p.choose(may, first.row, 0)
+	if r == nil || !p.hedges.spend() {
+		return nil
+	}
+	return p.take(r, may.now)
+}
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -100,8 +100,8 @@
 	answered bool
 	// silent is set when the upstream may still be working.
 	silent bool
-	// late is set when the attempt was cut off for its age, so that its
-	// duration is a lower bound of the service time.
+	// late is set when the attempt was cut off, so that its duration is a
+	// lower bound of the service time.
 	late bool
 }
 
@@ -113,9 +113,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.row.remove(s.start)
-	if end.answered || end.late {
-		s.row.service.add(now.Sub(s.start))
-		p.service.add(now.Sub(s.start))
+	if took := now.Sub(s.start); end.answered || end.late && took > p.service.typical() {
+		s.row.service.add(took)
+		p.service.add(took)
 	}
 	if end.answered {
 		s.row.answered()
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -35,6 +35,12 @@
 		return work.Refuse(work.ReasonUnknownService, 0)
 	}
 	body := replay.New(req.Body)
+	if req.Kind.Idempotent() {
+		// Read before a slot is taken, so that a slow caller holds none.
+		if err := body.Fill(); err != nil {
+			return work.Refuse(work.ReasonBadRequest, 0)
+		}
+	}
 	var last *work.Response
 	for attempt := 1; ; attempt++ {
 		s, refusal := p.admit(ctx, req)
@@ -83,38 +89,68 @@
 	return ok
 }
 
+// attempt is one dispatch of a request in a slot.
+type attempt struct {
+	pool     *pool
+	slot     *slot
+	ctx      context.Context
+	cancel   context.CancelFunc
+	deadline time.Time
+}
+
 // run sends one attempt in the slot and releases the slot when the exchange is
 // over.
 func (p *pool) run(ctx context.Context, s *slot, req *work.Request, body *replay.Body) *work.Response {
+	if req.Kind.Idempotent() {
+		if first, ok := body.Shared(); ok {
+			return p.runHedged(ctx, s, req, body, first)
+		}
+	}
 	reader, ok := body.Next()
 	if !ok {
 		s.release(ending{})
 		return work.Refuse(work.ReasonBadRequest, 0)
 	}
 	defer reader.Detach()
+	a, refusal := p.begin(ctx, s, req)
+	if refusal != nil {
+		return refusal
+	}
+	return a.do(req, reader)
+}
+
+// begin checks the right to dispatch a last time and bounds the attempt. It
+// releases the slot when it refuses.
+func (p *pool) begin(ctx context.Context, s *slot, req *work.Request) (*attempt, *work.Response) {
 	may := p.owner.permit(p)
 	if refusal := p.recheck(may, s.row); refusal != nil {
 		s.release(ending{})
-		return refusal
+		return nil, refusal
 	}
 	if !req.Kind.Idempotent() {
 		// Work with an effect is followed to its end, so that its outcome is
 		// known also when the caller left.
 		ctx = context.WithoutCancel(ctx)
 	}
-	deadline := may.now.Add(may.policy.DispatchTimeout)
-	if req.Deadline.Before(deadline) {
-		deadline = req.Deadline
+	a := &attempt{pool: p, slot: s, deadline: may.now.Add(may.policy.DispatchTimeout)}
+	if req.Deadline.Before(a.deadline) {
+		a.deadline = req.Deadline
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	a.ctx, a.cancel = context.WithDeadline(ctx, a.deadline)
 	p.count(may)
-	result := p.owner.upstreams.Do(ctx, s.row.target, req, reader, deadline)
+	return a, nil
+}
+
+// do sends the attempt. Unless the answer is still being received the slot is
+// free, or held, when it returns.
+func (a *attempt) do(req *work.Request, body io.Reader) *work.Response {
+	result := a.pool.owner.upstreams.Do(a.ctx, a.slot.row.target, req, body, a.deadline)
 	if !result.Open {
-		cancel()
-		p.conclude(s, result)
+		a.cancel()
+		a.pool.conclude(a.slot, result)
 		return result.Response
 	}
-	result.Response.Body = newOpenBody(ctx, cancel, result.Response.Body, s)
+	result.Response.Body = newOpenBody(a.ctx, a.cancel, result.Response.Body, a.slot)
 	return result.Response
 }
 
