Claim a pool before owning it, and list what is still in flight

Ruled out: lost heartbeats alone; the lease arithmetic. Change: a claim is announced and owned only after all live mates acknowledged it; given-back pools stay listed while requests are in flight; a pause resets every peer to unheard.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -31,6 +31,8 @@
 	grantedAt time.Time
 	// owned are the pools it dispatches to, by its newest heartbeat.
 	owned []int
+	// claimed are the pools it is about to own.
+	claimed []int
 	// releasedAt is the SentAt of its newest release.
 	releasedAt int64
 
@@ -122,13 +124,13 @@
 	}
 }
 
-// forgiveSilence restarts the silence of all partners: while this process did
-// not run it could not hear them.
+// forgiveSilence restarts the silence of all partners, also of those that had
+// failed: while this process did not run it could not hear them, and they may
+// have taken pools meanwhile.
 func (c *Core) forgiveSilence() {
 	for i := range c.members {
-		if !c.members[i].failed {
-			c.members[i].heardAt = c.now
-		}
+		c.members[i].heardAt = c.now
+		c.members[i].failed = false
 	}
 }
 
@@ -179,6 +181,7 @@
 		c.emit(Event{Kind: EventMemberState, Instance: c.ix.instances[from].Name, State: h.State})
 		c.spread.touch(m)
 	}
+	m.claimed = slices.Clone(h.Claimed)
 	if h.SentAt > m.releasedAt {
 		c.setOwned(from, h.Owned)
 	}
@@ -223,6 +226,7 @@
 func (c *Core) sendHeartbeatsNow() {
 	c.spread.nextHeartbeat = c.now.Add(c.timing.Heartbeat)
 	sentAt := c.monotonic()
+	owned, claimed := c.ownedIndexes(), c.claimedIndexes()
 	for i := range c.members {
 		if !c.wantsHeartbeat(i) {
 			continue
@@ -235,7 +239,8 @@
 			State:         c.state,
 			ConfigVersion: c.config.Version,
 			Grant:         c.grantTo(i),
-			Owned:         c.ownedIndexes(),
+			Owned:         owned,
+			Claimed:       claimed,
 		}})
 	}
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -37,9 +37,12 @@
 	// lease after Echo: the sender has not adopted them and will not before
 	// the grant has run out.
 	Grant bool `cbor:"5,keyasint,omitempty"`
-	// Owned lists the pools that the sender dispatches to, as indexes into the
+	// Owned lists the pools that the sender dispatches to, and adopted ones
+	// that it gave back with requests still in flight, as indexes into the
 	// pools of the topology in declared order.
 	Owned []int `cbor:"6,keyasint,omitempty"`
+	// Claimed lists the pools that the sender is about to own.
+	Claimed []int `cbor:"8,keyasint,omitempty"`
 	// EchoOf is the incarnation of the receiver that Echo belongs to.
 	EchoOf uint64 `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -11,6 +11,12 @@
 type ownedPool struct {
 	owned   bool
 	adopted bool
+	// claimedAt is when this instance announced that it is about to own the
+	// pool; zero where it did not.
+	claimedAt time.Time
+	// gaveUpAt is when this instance stopped dispatching to the pool. Its load
+	// is exact from the next tick on.
+	gaveUpAt time.Time
 	// blocked holds, by instance, the time until which that instance's
 	// requests may still be in flight at the pool's upstreams.
 	blocked map[int]time.Time
@@ -95,16 +101,25 @@
 		c.pools[p].block(i, heardAt.Add(c.timing.Lease+c.dispatchTimeout(p)))
 	}
 	c.members[i].owned = nil
+	c.members[i].claimed = nil
 }
 
 // ownedByOther reports whether a live instance other than i lists the pool.
 func (c *Core) ownedByOther(p, i int) bool {
-	for _, other := range c.ix.zones[c.zone].instances {
-		if other != i && other != c.self && c.alive(other) && slices.Contains(c.members[other].owned, p) {
-			return true
+	return slices.ContainsFunc(c.liveMates(), func(other int) bool {
+		return other != i && slices.Contains(c.members[other].owned, p)
+	})
+}
+
+// liveMates returns the other live instances of the own zone.
+func (c *Core) liveMates() []int {
+	var mates []int
+	for _, i := range c.ix.zones[c.zone].instances {
+		if i != c.self && c.alive(i) {
+			mates = append(mates, i)
 		}
 	}
-	return false
+	return mates
 }
 
 // updateOwnership takes and gives up the pools of the own zone, so that each
@@ -121,23 +136,59 @@
 			c.release(p)
 		case !c.pools[p].owned && winner == c.self:
 			c.acquire(p)
+		default:
+			c.pools[p].claimedAt = time.Time{}
 		}
 		c.noteLapse(p)
 	}
 }
 
-// acquire takes a pool once no other instance can be dispatching to it.
+// acquire takes a pool in two steps: the claim is announced, and the pool is
+// owned once every live instance of the zone has acknowledged the claim without
+// owning the pool or having a better claim. Two instances whose views differ
+// for a moment therefore never both own it.
 func (c *Core) acquire(p int) {
 	pool := &c.pools[p]
-	if c.ownedByOther(p, c.self) || pool.isBlocked(c.now) {
+	if c.ownedByOther(p, c.self) || pool.isBlocked(c.now) || c.betterClaim(p) {
+		pool.claimedAt = time.Time{}
+		return
+	}
+	if pool.claimedAt.IsZero() {
+		pool.claimedAt = c.now
+		c.spread.nextHeartbeat = time.Time{}
+	}
+	if !c.claimConfirmed(p) {
 		return
 	}
 	pool.owned = true
 	pool.releasing = false
+	pool.claimedAt = time.Time{}
 	c.spread.hurry()
+	c.spread.nextHeartbeat = time.Time{}
 	c.emit(Event{Kind: EventPoolOwned, Pool: c.ix.pools[p].id})
 }
 
+// betterClaim reports whether a live instance of higher rank claims the pool.
+func (c *Core) betterClaim(p int) bool {
+	key := "pool/" + c.ix.pools[p].id.String()
+	return slices.ContainsFunc(c.liveMates(), func(i int) bool {
+		return slices.Contains(c.members[i].claimed, p) &&
+			c.ix.best(key, []int{c.self, i}) == i
+	})
+}
+
+// claimConfirmed reports whether all live instances of the zone have seen the
+// claim and none has one of its own.
+func (c *Core) claimConfirmed(p int) bool {
+	for _, i := range c.liveMates() {
+		m := &c.members[i]
+		if m.ackedAt.Before(c.pools[p].claimedAt) || slices.Contains(m.claimed, p) {
+			return false
+		}
+	}
+	return true
+}
+
 // release stops dispatching to a pool of the own zone. Requests in flight end
 // by themselves and are reported to the next owner.
 func (c *Core) release(p int) {
@@ -145,6 +196,7 @@
 	pool.owned = false
 	pool.lapsed = false
 	pool.releasing = true
+	pool.gaveUpAt = c.now
 	c.spread.hurry()
 	c.emit(Event{Kind: EventPoolReleased, Pool: c.ix.pools[p].id})
 }
@@ -152,6 +204,7 @@
 // dropAllPools stops all dispatching at once.
 func (c *Core) dropAllPools() {
 	for p := range c.pools {
+		c.pools[p].claimedAt = time.Time{}
 		switch {
 		case !c.pools[p].owned:
 		case c.pools[p].adopted:
@@ -190,7 +243,7 @@
 	candidates := slices.DeleteFunc(c.servingMates(), func(i int) bool { return i == c.self })
 	for _, p := range c.ix.zones[c.zone].pools {
 		pool := &c.pools[p]
-		if !pool.releasing {
+		if !pool.releasing || !c.now.After(pool.gaveUpAt) {
 			continue
 		}
 		id := c.ix.pools[p].id
@@ -266,17 +319,35 @@
 	return granted.Add(c.timing.Lease)
 }
 
-// ownedIndexes lists the pools this instance dispatches to.
+// ownedIndexes lists the pools this instance dispatches to, and those of other
+// zones that it gave back and whose requests are still in flight.
 func (c *Core) ownedIndexes() []int {
 	var owned []int
 	for p := range c.pools {
-		if c.pools[p].owned {
+		if c.pools[p].owned || c.ix.pools[p].zone != c.zone && c.inFlight(p) {
 			owned = append(owned, p)
 		}
 	}
 	return owned
 }
 
+// inFlight reports whether requests of this instance may be in flight at a
+// pool it no longer dispatches to.
+func (c *Core) inFlight(p int) bool {
+	gaveUpAt := c.pools[p].gaveUpAt
+	return c.load[p].Busy > 0 || !gaveUpAt.IsZero() && !c.now.After(gaveUpAt)
+}
+
+func (c *Core) claimedIndexes() []int {
+	var claimed []int
+	for p := range c.pools {
+		if !c.pools[p].claimedAt.IsZero() {
+			claimed = append(claimed, p)
+		}
+	}
+	return claimed
+}
+
 // grants builds the rights for the snapshot.
 func (c *Core) grants() map[work.PoolID]Grant {
 	grants := map[work.PoolID]Grant{}
--- a/internal/control/wards.go
+++ b/internal/control/wards.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	for _, p := range c.ix.zones[w.zone].pools {
-		if c.pools[p].owned || c.load[p].Busy > 0 {
+		if c.pools[p].owned || c.inFlight(p) {
 			return false
 		}
 	}
@@ -213,6 +213,7 @@
 func (c *Core) giveBack(p int) {
 	c.pools[p].owned = false
 	c.pools[p].adopted = false
+	c.pools[p].gaveUpAt = c.now
 	c.spread.hurry()
 	c.emit(Event{Kind: EventPoolReturned, Pool: c.ix.pools[p].id})
 }
