--- a/internal/settings/check_preset.go
+++ b/internal/settings/check_preset.go
@@ -2,15 +2,22 @@
 
 import (
 	"fmt"
+	"regexp"
 	"slices"
 	"time"
 
 	"sycamoreledge.example/internal/work"
 )
 
+// presetName keeps the names of presets usable in paths and on command lines.
+var presetName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
 // checkPolicies checks a preset by itself.
 func checkPolicies(p *Preset) problems {
 	var found problems
+	if !presetName.MatchString(p.Name) {
+		found.addf("name", "%q may only have letters, digits, dots, underscores and hyphens", p.Name)
+	}
 	for i := range p.Services {
 		s := &p.Services[i]
 		path := fmt.Sprintf("services[%d]", i)
--- a/internal/settings/preset.go
+++ b/internal/settings/preset.go
@@ -68,6 +68,11 @@
 	At        time.Time `json:"at" cbor:"4,keyasint"`
 	Action    string    `json:"action" cbor:"5,keyasint"`
 	Detail    string    `json:"detail" cbor:"6,keyasint"`
+	// Target names what was changed; two changes with the same target
+	// overwrite each other.
+	Target string `json:"target" cbor:"7,keyasint"`
+	// Base is the version of the configuration that the change replaced.
+	Base int64 `json:"base" cbor:"8,keyasint"`
 }
 
 // Config is the dynamic configuration: the presets, the one in force and the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -158,6 +158,7 @@
 
 func TestPresetFaults(t *testing.T) {
 	faults := []fault{
+		{"name", "name: ordinary", "name: a/b", 1, "may only have letters"},
 		{"headroom", "headroom: 0.2", "headroom: 1.5", 2, "must be below 1"},
 		{"unknown zone", "headroom: 0.2", "drained_zones: [north]", 2, "zone north is not declared"},
 		{"unknown service", "name: status", "name: stock", 4, "service stock is not declared"},
