Claim callers' own idempotency keys on the platform

A key that a caller has chosen names no home, so the instances claim it by conditional updates of 16 shard objects. A claim carries a nonce; after a lost answer the shard is read back, after a conflict it is read and merged, expired claims are pruned by the same write, and a full shard refuses. While the platform is out of reach claims are refused at once but for one probe.

Claims that come in during a write are written together by the next one. All calls of an instance for one key share a row until one of them is told that it won.

--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,328 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/zeebo/errs"
+
+	"sycamoreledge.example/internal/claims"
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/platform"
+)
+
+func identity(name string) control.Identity { return control.Identity{Instance: name, Incarnation: 1} }
+
+func TestFirstClaimWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := platform.NewMemory()
+	a := claims.New(memory, identity("a"), claims.Config{})
+	b := claims.New(memory, identity("b"), claims.Config{})
+	first, err := a.Claim(t.Context(), "orders", "k")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Won).To(gomega.BeTrue())
+	for _, c := range []*claims.Claimer{a, b} {
+		later, err := c.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(later).To(gomega.Equal(claims.Claim{Holder: identity("a"), Expires: first.Expires}))
+	}
+	other, err := b.Claim(t.Context(), "order", "sk")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(other.Won).To(gomega.BeTrue(), "service and key are told apart")
+}
+
+func TestClaimsUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults platform.Faults
+		class  *errs.Class
+		// held says whether the failed claim stands on the platform.
+		held bool
+	}{
+		{"answer lost", platform.Faults{LoseAnswers: 1}, nil, true},
+		{"call lost", platform.Faults{LoseCalls: 1}, nil, true},
+		{"throttled", platform.Faults{Throttle: 3}, nil, true},
+		{"stale reads", platform.Faults{Stale: true}, nil, true},
+		{"slow", platform.Faults{Latency: 400 * time.Millisecond}, nil, true},
+		{"down", platform.Faults{Down: true}, &claims.Unreachable, false},
+		{"slower than the timeout", platform.Faults{Latency: time.Hour}, &claims.Unreachable, false},
+		{"throttled for long", platform.Faults{Throttle: 1e6}, &claims.Unreachable, false},
+		{"answers lost and reads stale", platform.Faults{LoseAnswers: 1e6, Stale: true}, &claims.Unreachable, true},
+		{"calls lost for long", platform.Faults{LoseCalls: 1e6}, &claims.Unreachable, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				memory := platform.NewMemory()
+				a := claims.New(memory, identity("a"), claims.Config{})
+				b := claims.New(memory, identity("b"), claims.Config{})
+				memory.SetFaults(c.faults)
+				got, err := a.Claim(t.Context(), "orders", "k")
+				if c.class != nil {
+					g.Expect(c.class.Has(err)).To(gomega.BeTrue(), "%v", err)
+					g.Expect(got.Won).To(gomega.BeFalse())
+				} else {
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					g.Expect(got.Won).To(gomega.BeTrue())
+				}
+				memory.SetFaults(platform.Faults{})
+				time.Sleep(time.Second) // fake time: the pause after a failure
+				other, err := b.Claim(t.Context(), "orders", "k")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(other.Won).To(gomega.Equal(!c.held))
+				again, err := a.Claim(t.Context(), "orders", "k")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(again.Won).To(gomega.Equal(c.held && c.class != nil), "a claim that failed is won by the next call")
+				last, err := a.Claim(t.Context(), "orders", "k")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(last.Won).To(gomega.BeFalse())
+			})
+		})
+	}
+}
+
+// TestExactlyOneWins lets claimers race for keys while answers and calls are
+// lost and callers give up; all of them retry until they are told.
+func TestExactlyOneWins(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) { raceForKeys(t, seed) })
+	}
+}
+
+const (
+	racers   = 4
+	raceKeys = 12
+)
+
+func raceForKeys(t *testing.T, seed uint64) {
+	g := gomega.NewWithT(t)
+	memory := platform.NewMemory()
+	random := rand.New(rand.NewPCG(seed, 0))
+	var mu sync.Mutex
+	wins := make(map[string]int)
+	holders := make(map[string]map[control.Identity]bool)
+	stop := make(chan struct{})
+	go disturb(memory, rand.New(rand.NewPCG(seed, 1)), stop)
+	var racing sync.WaitGroup
+	for i := range racers {
+		claimer := claims.New(memory, identity(fmt.Sprint(i)), claims.Config{Shards: 2, Timeout: 300 * time.Millisecond})
+		for k := range raceKeys {
+			key := fmt.Sprint(k)
+			patience := time.Duration(1+random.IntN(60)) * time.Millisecond
+			racing.Go(func() {
+				claim := claimUntilTold(t.Context(), claimer, key, patience)
+				mu.Lock()
+				defer mu.Unlock()
+				if claim.Won {
+					wins[key]++
+				}
+				if holders[key] == nil {
+					holders[key] = make(map[control.Identity]bool)
+				}
+				holders[key][claim.Holder] = true
+			})
+		}
+	}
+	racing.Wait()
+	close(stop)
+	for k := range raceKeys {
+		key := fmt.Sprint(k)
+		g.Expect(wins[key]).To(gomega.Equal(1), "seed %d, key %s", seed, key)
+		g.Expect(holders[key]).To(gomega.HaveLen(1), "seed %d, key %s", seed, key)
+	}
+}
+
+// claimUntilTold repeats a claim that failed; each call waits a little longer.
+func claimUntilTold(ctx context.Context, c *claims.Claimer, key string, patience time.Duration) claims.Claim {
+	for {
+		call, cancel := context.WithTimeout(ctx, patience)
+		claim, err := c.Claim(call, "orders", key)
+		cancel()
+		if err == nil {
+			return claim
+		}
+		patience += 10 * time.Millisecond
+		_ = platform.Pause(ctx, patience)
+	}
+}
+
+// disturb changes the faults at random times.
+func disturb(memory *platform.Memory, random *rand.Rand, stop chan struct{}) {
+	for {
+		memory.SetFaults(platform.Faults{
+			LoseAnswers: random.IntN(4),
+			LoseCalls:   random.IntN(3),
+			Throttle:    random.IntN(3),
+			Stale:       random.IntN(6) == 0,
+			Down:        random.IntN(8) == 0,
+			Latency:     time.Duration(random.IntN(20)) * time.Millisecond,
+		})
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(1+random.IntN(80)) * time.Millisecond):
+		}
+	}
+}
+
+func TestAbandonedClaimIsWonByTheNextCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		memory.SetFaults(platform.Faults{Latency: 100 * time.Millisecond})
+		a := claims.New(memory, identity("a"), claims.Config{})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := a.Claim(ctx, "orders", "k")
+		g.Expect(claims.Unreachable.Has(err)).To(gomega.BeTrue(), "%v", err)
+		second, err := a.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(second.Won).To(gomega.BeTrue())
+		third, err := a.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(third.Won).To(gomega.BeFalse())
+	})
+}
+
+func TestOneOfTheCallsOfAnInstanceWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		memory.SetFaults(platform.Faults{Latency: time.Millisecond, LoseAnswers: 1})
+		a := claims.New(memory, identity("a"), claims.Config{})
+		const calls = 20
+		results := make(chan claims.Claim, calls)
+		var waiting sync.WaitGroup
+		for range calls {
+			waiting.Go(func() {
+				claim, err := a.Claim(t.Context(), "orders", "k")
+				if err != nil {
+					t.Error(err)
+				}
+				results <- claim
+			})
+		}
+		waiting.Wait()
+		close(results)
+		won := 0
+		for claim := range results {
+			g.Expect(claim.Holder).To(gomega.Equal(identity("a")))
+			if claim.Won {
+				won++
+			}
+		}
+		g.Expect(won).To(gomega.Equal(1))
+	})
+}
+
+func TestClaimsEndAfterTheirLifetimeAndTheSkew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		a := claims.New(memory, identity("a"), claims.Config{Lifetime: time.Hour})
+		b := claims.New(memory, identity("b"), claims.Config{Lifetime: time.Hour})
+		first, err := a.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(first.Expires).To(gomega.BeTemporally("~", time.Now().Add(time.Hour), time.Second))
+		time.Sleep(time.Hour + 59*time.Second) // fake time
+		early, err := b.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(early.Won).To(gomega.BeFalse())
+		time.Sleep(2 * time.Second)
+		late, err := b.Claim(t.Context(), "orders", "k")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(late.Won).To(gomega.BeTrue())
+	})
+}
+
+func TestFullShardRefusesUntilClaimsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		long := identity(strings.Repeat("x", 100_000))
+		c := claims.New(memory, long, claims.Config{Shards: 1, Lifetime: time.Minute})
+		for i := range 10 {
+			_, err := c.Claim(t.Context(), "orders", fmt.Sprint(i))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		_, err := c.Claim(t.Context(), "orders", "one more")
+		g.Expect(claims.Full.Has(err)).To(gomega.BeTrue(), "%v", err)
+		time.Sleep(3 * time.Minute) // fake time
+		claim, err := c.Claim(t.Context(), "orders", "one more")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(claim.Won).To(gomega.BeTrue())
+	})
+}
+
+func TestCorruptShardIsNotOverwritten(t *testing.T) {
+	for _, value := range []string{"", "x", "\xa1\x01\x07", "\xa2\x01\x01\x02\xa1\x41k\x84\x61a\x01\x01\x01"} {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		_, err := memory.Put(t.Context(), "claims/0", []byte(value), 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = claims.New(memory, identity("a"), claims.Config{Shards: 1}).Claim(t.Context(), "orders", "k")
+		g.Expect(claims.Corrupt.Has(err)).To(gomega.BeTrue(), "%q gives %v", value, err)
+	}
+}
+
+func TestOutageRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := platform.NewMemory()
+		memory.SetFaults(platform.Faults{Latency: time.Hour})
+		c := claims.New(memory, identity("a"), claims.Config{Shards: 1})
+		_, err := c.Claim(t.Context(), "orders", "first")
+		g.Expect(claims.Unreachable.Has(err)).To(gomega.BeTrue(), "%v", err)
+		for range 3 {
+			probing := make(chan error, 1)
+			time.Sleep(time.Second) // fake time
+			go func() {
+				_, err := c.Claim(t.Context(), "orders", "probe")
+				probing <- err
+			}()
+			synctest.Wait()
+			start := time.Now()
+			_, err := c.Claim(t.Context(), "orders", "other")
+			g.Expect(claims.Unreachable.Has(err)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(time.Since(start)).To(gomega.BeZero())
+			g.Expect(<-probing).To(gomega.HaveOccurred())
+		}
+		memory.SetFaults(platform.Faults{})
+		time.Sleep(time.Second)
+		claim, err := c.Claim(t.Context(), "orders", "first")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(claim.Won).To(gomega.BeTrue())
+	})
+}
+
+func TestWaitingClaimsAreWrittenTogether(t *testing.T) {
+	const keys = 64
+	for _, c := range []struct{ maxBatch, writes int }{{0, 2}, {1, keys}} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			memory := platform.NewMemory()
+			memory.SetFaults(platform.Faults{Latency: 5 * time.Millisecond})
+			claimer := claims.New(memory, identity("a"), claims.Config{Shards: 1, MaxBatch: c.maxBatch, Timeout: time.Minute})
+			var waiting sync.WaitGroup
+			for i := range keys {
+				waiting.Go(func() {
+					claim, err := claimer.Claim(t.Context(), "orders", fmt.Sprint(i))
+					if err != nil || !claim.Won {
+						t.Errorf("key %d: %v, %v", i, claim, err)
+					}
+				})
+			}
+			waiting.Wait()
+			g.Expect(memory.Counts().Writes).To(gomega.BeNumerically("<=", c.writes))
+			g.Expect(memory.Counts().Writes).To(gomega.BeNumerically(">", c.writes/2))
+		})
+	}
+}
