Make keys and credentials for a run and serve the stand-ins

The daemon needs certificates, the key secret and operators before it starts, and the presets must pass its own checks. A generated run now holds all of them; a test loads each settings file as the daemon does. The platform's address of another zone stands in its own setting, as the address map takes declared addresses only.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -2,4 +2,41 @@
 // and the callers, replays traces and measures. It is never shipped.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Generate  generateCmd  `cmd:"" help:"Write a run of a firm on loopback addresses."`
+	Platform  platformCmd  `cmd:"" help:"Serve the stand-in of the platform of a run."`
+	Upstreams upstreamsCmd `cmd:"" help:"Serve the upstreams of one availability zone of a run."`
+	Call      callCmd      `cmd:"" help:"Send the callers' load of one availability zone of a run."`
+}
+
+// runDir names the directory that generate wrote.
+type runDir struct {
+	Run string `help:"Directory of the run." required:"" type:"existingdir"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var c cli
+	k := kong.Parse(&c,
+		kong.Name("lab"),
+		kong.Description("Stand-ins of what surrounds sycamoreledge, and trials of it."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -180,3 +180,21 @@
 	}
 	g.Expect(issued).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", len(x.Ops()))))
 }
+
+func TestStandardLoadsUseTheirShareOfTheSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, err := firm.Load("../../../deploy/wijesekera")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p := &firm.Plan{Topology: f.Topology, Presets: f.Presets, World: f.World}
+	shares := caller.Shares{work.Lookup: 0.5, work.Order: 0.25}
+	busy := map[string]float64{}
+	for _, zone := range firm.Zones(&p.Topology) {
+		for _, l := range caller.StandardLoads(p, p.Preset("ordinary"), zone, shares) {
+			busy[l.Service] += l.Rate * caller.MeanTime(p.World.ServiceTimeOf(l.Service), l.Kind).Seconds()
+			g.Expect(l.Deadline).To(gomega.BeNumerically(">=", 2*time.Second))
+		}
+	}
+	g.Expect(busy["patterns"]).To(gomega.BeNumerically("~", 0.5*16*6, 0.01))
+	g.Expect(busy["ledger"]).To(gomega.BeNumerically("~", 0.25*12*3, 0.01))
+	g.Expect(busy).NotTo(gomega.HaveKey("artwork"))
+}
--- a/internal/lab/firm/firm_test.go
+++ b/internal/lab/firm/firm_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/pki"
 	"sycamoreledge.example/internal/settings"
 )
 
@@ -102,3 +103,33 @@
 	}
 	return n
 }
+
+func TestTheDaemonTakesEveryGeneratedSettingsFile(t *testing.T) {
+	for _, want := range sizes {
+		t.Run(want.dir, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f, err := firm.Load(filepath.Join(deploy, want.dir))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			p, err := firm.Generate(t.TempDir(), f)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, e := range p.Entries {
+				bundle, err := settings.LoadBundle(e.Settings)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(bundle.Settings.Instance).To(gomega.Equal(e.Name))
+				name, ok := settings.FindOperator(bundle.Operators, p.Tokens["first"])
+				g.Expect(ok).To(gomega.BeTrue())
+				g.Expect(name).To(gomega.Equal("first"))
+				files := pki.Files{Authority: bundle.Settings.TLS.Authority, Certificate: bundle.Settings.TLS.Certificate, Key: bundle.Settings.TLS.Key}
+				keys, err := pki.NewSource(files, pki.Options{})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(keys.Name()).To(gomega.Equal(e.Name))
+			}
+			topo, err := settings.LoadTopology(filepath.Join(deploy, want.dir, "topology.yaml"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, preset := range f.Presets {
+				_, err := settings.LoadPreset(filepath.Join(deploy, want.dir, "presets", preset.Name+".yaml"), topo)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+		})
+	}
+}
--- a/internal/lab/firm/generate.go
+++ b/internal/lab/firm/generate.go
@@ -43,13 +43,10 @@
 
 // assign gives every declared address of the firm a loopback address.
 func assign(dir string, f *Firm, free *ports) *Plan {
-	p := &Plan{Dir: dir, Topology: cloneTopology(&f.Topology), World: f.World}
+	p := &Plan{Dir: dir, Topology: cloneTopology(&f.Topology), Presets: f.Presets, World: f.World}
 	p.Platform = free.tcp(loopback(sharedOctet, 0, 1))
 	p.LinkAdmin = free.tcp(loopback(sharedOctet, 0, 2))
 	p.UpstreamAdmin = map[string]string{}
-	for _, preset := range f.Presets {
-		p.Presets = append(p.Presets, preset.Name)
-	}
 	hosts := assignInstances(p, free)
 	assignUpstreams(p, free, hosts)
 	p.Forwards = forwards(p, free)
@@ -151,6 +148,9 @@
 			return err
 		}
 	}
+	if err := writeSecrets(p); err != nil {
+		return err
+	}
 	return p.write()
 }
 
@@ -163,7 +163,11 @@
 	s.Platform.Address = p.Platform
 	s.AddressMap = map[string]string{}
 	for _, f := range p.Forwards {
-		if f.From == e.Zone {
+		switch {
+		case f.From != e.Zone:
+		case f.Target == p.Platform:
+			s.Platform.Address = f.Listen
+		default:
 			s.AddressMap[f.Target] = f.Listen
 		}
 	}
--- a/internal/lab/firm/plan.go
+++ b/internal/lab/firm/plan.go
@@ -28,8 +28,11 @@
 	Dir      string            `json:"dir"`
 	Topology settings.Topology `json:"topology"`
 	World    World             `json:"world"`
-	// Presets are the names of the firm's presets.
-	Presets []string `json:"presets"`
+	Presets  []settings.Preset `json:"presets"`
+	// Authority is the path of the certificate that signs all others.
+	Authority string `json:"authority"`
+	// Tokens are the operators' credentials by name.
+	Tokens map[string]string `json:"tokens"`
 	// Platform is the address of the object API inside its zone.
 	Platform string `json:"platform"`
 	// LinkAdmin is the address of the links' control interface.
@@ -79,6 +82,16 @@
 	return Error.Wrap(os.WriteFile(filepath.Join(p.Dir, planFile), data, filePerm))
 }
 
+// Preset returns the preset with the name, or nil.
+func (p *Plan) Preset(name string) *settings.Preset {
+	for i := range p.Presets {
+		if p.Presets[i].Name == name {
+			return &p.Presets[i]
+		}
+	}
+	return nil
+}
+
 // Entry returns the entry with the name, or nil.
 func (p *Plan) Entry(name string) *Entry {
 	for i := range p.Entries {
