Show a running firm and judge it at the end

A newcomer should see the system work and fail in a minute. lab run starts a firm, prints the figures of every second, switches the preset, drains an upstream, stops an entry as planned, kills another, and compares callers with ledgers at the end; it fails when a step failed or a promise was broken. The trial package holds what this shares with the fault cases; violations are judged over the whole history, so that a late effect is still found.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -18,6 +18,7 @@
 	Platform  platformCmd  `cmd:"" help:"Serve the stand-in of the platform of a run."`
 	Upstreams upstreamsCmd `cmd:"" help:"Serve the upstreams of one availability zone of a run."`
 	Call      callCmd      `cmd:"" help:"Send the callers' load of one availability zone of a run."`
+	Run       runCmd       `cmd:"" help:"Start a firm, show it for a while and judge what came of it."`
 }
 
 // runDir names the directory that generate wrote.
--- a/cmd/lab/standins.go
+++ b/cmd/lab/standins.go
@@ -106,7 +106,7 @@
 			return err
 		}
 	}
-	for _, t := range x.Totals() {
+	for _, t := range x.Stats().Totals() {
 		if err := out.Encode(t); err != nil {
 			return err
 		}
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -45,6 +45,8 @@
 	Zone  string
 	Seed  uint64
 	Loads []Load
+	// Stats collects the totals; several callers may share it.
+	Stats *Stats
 }
 
 // Caller sends the load of one availability zone.
@@ -52,7 +54,6 @@
 	config    Config
 	client    *Client
 	directory *directory
-	stats     *stats
 
 	mu  sync.Mutex
 	ops []*Op
@@ -60,12 +61,14 @@
 
 // New returns a caller that has sent nothing yet.
 func New(config Config) *Caller {
+	if config.Stats == nil {
+		config.Stats = NewStats()
+	}
 	client := NewClient(Latency(config.Plan, config.Zone))
 	return &Caller{
 		config:    config,
 		client:    client,
 		directory: newDirectory(client, address(config.Plan, config.Zone), known(config.Plan, config.Zone)),
-		stats:     newStats(),
 	}
 }
 
@@ -96,7 +99,7 @@
 		select {
 		case room <- struct{}{}:
 		default:
-			c.stats.add(load.Service, load.Kind, 0, func(t *Totals) { t.Skipped++ })
+			c.config.Stats.add(load.Service, load.Kind, 0, func(t *Totals) { t.Skipped++ })
 			continue
 		}
 		intended := next
@@ -140,7 +143,7 @@
 
 // operate gets a key where one is needed and runs the operation.
 func (c *Caller) operate(ctx context.Context, call *Call, d drawn, intended time.Time) {
-	c.stats.add(call.Service, call.Kind, 0, func(t *Totals) { t.Sent++ })
+	c.config.Stats.add(call.Service, call.Kind, 0, func(t *Totals) { t.Sent++ })
 	call.Body = body(d.bodySeed, d.bodySize)
 	if !call.Kind.Idempotent() {
 		call.Key = d.ownKey
@@ -148,13 +151,13 @@
 			call.Key = c.issuedKey(ctx, call.Service)
 		}
 		if call.Key == "" {
-			c.stats.add(call.Service, call.Kind, 0, func(t *Totals) { t.NoKey++ })
+			c.config.Stats.add(call.Service, call.Kind, 0, func(t *Totals) { t.NoKey++ })
 			return
 		}
 	}
 	op := c.Operate(ctx, call, d.twice)
 	op.Late = op.Outcome == work.Run && op.Attempts == 1 && op.End.Sub(op.Start) > call.Deadline+lateSlack
-	c.stats.finished(op, intended)
+	c.config.Stats.finished(op, intended)
 	if call.Key != "" || op.Bad != "" {
 		c.keep(op)
 	}
@@ -177,6 +180,9 @@
 	c.ops = append(c.ops, op)
 }
 
+// Stats returns where the totals are collected.
+func (c *Caller) Stats() *Stats { return c.config.Stats }
+
 // Ops returns the operations that had a key or a bad answer.
 func (c *Caller) Ops() []*Op {
 	c.mu.Lock()
@@ -184,12 +190,6 @@
 	return append([]*Op(nil), c.ops...)
 }
 
-// Totals returns the counts since the start.
-func (c *Caller) Totals() []Totals { return c.stats.totals() }
-
-// Interval returns the counts since the last call of Interval.
-func (c *Caller) Interval() []Totals { return c.stats.takeInterval() }
-
 // Latency returns the one-way latency from callers of a zone to an entry.
 func Latency(p *firm.Plan, zone string) func(address string) time.Duration {
 	byAddress := map[string]time.Duration{}
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	x.Run(ctx)
-	totals := x.Totals()
+	totals := x.Stats().Totals()
 	g.Expect(totals).To(gomega.HaveLen(2))
 	for _, total := range totals {
 		g.Expect(total.Run).To(gomega.BeNumerically(">", 0))
--- a/internal/lab/caller/operation.go
+++ b/internal/lab/caller/operation.go
@@ -37,6 +37,8 @@
 	Bad      string      `json:"bad,omitempty"`
 	// Cut counts answers that broke off and were seen to.
 	Cut int `json:"cut,omitempty"`
+	// Unreached counts entries that took no connection.
+	Unreached int `json:"unreached,omitempty"`
 	// Unlabelled counts answers without an outcome.
 	Unlabelled int `json:"unlabelled,omitempty"`
 	// Late is set when the answer came after the deadline of its attempt.
@@ -112,6 +114,9 @@
 // note adds the result of one attempt.
 func (op *Op) note(r Result) {
 	op.Attempts++
+	if !r.Sent {
+		op.Unreached++
+	}
 	if r.Told && r.Outcome == work.NotRun {
 		op.NotRun = append(op.NotRun, r.At)
 	}
--- a/internal/lab/caller/stats.go
+++ b/internal/lab/caller/stats.go
@@ -31,6 +31,8 @@
 	Refusals int64 `json:"refusals"`
 	Bad      int64 `json:"bad"`
 	Cut      int64 `json:"cut"`
+	// Unreached counts entries that took no connection.
+	Unreached int64 `json:"unreached"`
 	// Unlabelled counts answers without an outcome.
 	Unlabelled int64 `json:"unlabelled"`
 	Late       int64 `json:"late"`
@@ -52,21 +54,21 @@
 	hist   *hdrhistogram.Histogram
 }
 
-// stats collects totals by service.
-type stats struct {
+// Stats collects totals by service, of one or of several callers.
+type Stats struct {
 	mu       sync.Mutex
 	total    map[string]*series
 	interval map[string]*series
 }
 
-// newStats returns empty totals.
-func newStats() *stats {
-	return &stats{total: map[string]*series{}, interval: map[string]*series{}}
+// NewStats returns empty totals.
+func NewStats() *Stats {
+	return &Stats{total: map[string]*series{}, interval: map[string]*series{}}
 }
 
 // add applies f to the totals and the interval of a service. A positive
 // latency is recorded.
-func (s *stats) add(service string, kind work.Kind, latency time.Duration, f func(*Totals)) {
+func (s *Stats) add(service string, kind work.Kind, latency time.Duration, f func(*Totals)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range []map[string]*series{s.total, s.interval} {
@@ -83,7 +85,7 @@
 }
 
 // finished counts the end of an operation.
-func (s *stats) finished(op *Op, intended time.Time) {
+func (s *Stats) finished(op *Op, intended time.Time) {
 	var latency time.Duration
 	if op.Outcome == work.Run {
 		latency = op.End.Sub(intended)
@@ -92,6 +94,7 @@
 		t.Attempts += int64(op.Attempts)
 		t.Refusals += int64(len(op.NotRun))
 		t.Cut += int64(op.Cut)
+		t.Unreached += int64(op.Unreached)
 		t.Unlabelled += int64(op.Unlabelled)
 		if op.Bad != "" {
 			t.Bad++
@@ -124,8 +127,8 @@
 	return out
 }
 
-// takeInterval returns the totals since the last call.
-func (s *stats) takeInterval() []Totals {
+// Interval returns the totals since its last call.
+func (s *Stats) Interval() []Totals {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := summarize(s.interval)
@@ -133,8 +136,8 @@
 	return out
 }
 
-// totals returns the totals since the start.
-func (s *stats) totals() []Totals {
+// Totals returns the totals since the start.
+func (s *Stats) Totals() []Totals {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return summarize(s.total)
--- /dev/null
+++ b/internal/lab/trial/trial.go
@@ -0,0 +1,138 @@
+// Package trial runs a firm with load from callers in every availability zone
+// and judges what came of it.
+package trial
+
+import (
+	"context"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"sycamoreledge.example/internal/client"
+	"sycamoreledge.example/internal/lab/caller"
+	"sycamoreledge.example/internal/lab/cluster"
+	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/lab/verdict"
+	"sycamoreledge.example/internal/settings"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("trial")
+
+// Options says what to run.
+type Options struct {
+	// Firm is the directory of the firm, Bin that of the built programs and
+	// Dir the one to write the run into.
+	Firm, Bin, Dir  string
+	Seed            uint64
+	WithoutPlatform bool
+}
+
+// Trial is a running firm with a history of what was asked of it.
+type Trial struct {
+	Plan    *firm.Plan
+	Cluster *cluster.Cluster
+	Seed    uint64
+
+	history *verdict.History
+	loads   uint64
+}
+
+// Start generates a run and starts it.
+func Start(ctx context.Context, o Options) (*Trial, error) {
+	f, err := firm.Load(o.Firm)
+	if err != nil {
+		return nil, err
+	}
+	p, err := firm.Generate(o.Dir, f)
+	if err != nil {
+		return nil, err
+	}
+	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform})
+	if err != nil {
+		return nil, err
+	}
+	return &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}, nil
+}
+
+// Operator returns the client of an operator that asks the entries in order.
+// Without names it may ask all of them.
+func (t *Trial) Operator(name string, entries ...string) (*client.Client, error) {
+	var endpoints []string
+	for _, e := range t.Plan.Entries {
+		if len(entries) == 0 {
+			endpoints = append(endpoints, e.Operators)
+		}
+	}
+	for _, e := range entries {
+		endpoints = append(endpoints, t.Plan.Entry(e).Operators)
+	}
+	return client.New(client.Options{Endpoints: endpoints, Token: t.Plan.Tokens[name], CAFile: t.Plan.Authority})
+}
+
+// LoadOptions shapes the load.
+type LoadOptions struct {
+	Shares caller.Shares
+	// Preset gives the deadlines.
+	Preset *settings.Preset
+	// Zones are those with callers; none means all.
+	Zones []string
+	// Twice is the share of the operations sent through two entries at once.
+	Twice float64
+}
+
+// Load is load that is being sent.
+type Load struct {
+	Stats *caller.Stats
+
+	trial   *Trial
+	callers []*caller.Caller
+	cancel  context.CancelFunc
+	all     sync.WaitGroup
+}
+
+// StartLoad starts callers. Each load of a trial has a seed of its own.
+func (t *Trial) StartLoad(ctx context.Context, o LoadOptions) *Load {
+	t.loads++
+	zones := o.Zones
+	if len(zones) == 0 {
+		zones = firm.Zones(&t.Plan.Topology)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l := &Load{Stats: caller.NewStats(), trial: t, cancel: cancel}
+	for i, zone := range zones {
+		loads := caller.StandardLoads(t.Plan, o.Preset, zone, o.Shares)
+		for j := range loads {
+			loads[j].Twice = o.Twice
+		}
+		seed := t.Seed<<20 ^ t.loads<<8 ^ uint64(i)
+		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, Stats: l.Stats})
+		l.callers = append(l.callers, c)
+		l.all.Go(func() { c.Run(ctx) })
+	}
+	return l
+}
+
+// Stop ends the load, waits for the operations under way and returns all.
+func (l *Load) Stop() []*caller.Op {
+	l.cancel()
+	l.all.Wait()
+	var ops []*caller.Op
+	for _, c := range l.callers {
+		ops = append(ops, c.Ops()...)
+	}
+	l.trial.history.Add(ops)
+	return ops
+}
+
+// Note adds operations that were not sent by a Load.
+func (t *Trial) Note(ops ...*caller.Op) { t.history.Add(ops) }
+
+// Judge returns the violations that were not reported before. No load may run.
+func (t *Trial) Judge(ctx context.Context) (verdict.Violations, error) {
+	ledger, err := t.Cluster.Ledger(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return t.history.Judge(ledger), nil
+}
--- a/internal/lab/verdict/verdict.go
+++ b/internal/lab/verdict/verdict.go
@@ -10,78 +10,105 @@
 	"sycamoreledge.example/internal/work"
 )
 
-// maxExamples bounds the examples kept of each kind of violation.
-const maxExamples = 5
+// Kind classifies violations.
+type Kind string
 
-// Verdict counts violations, each with some examples.
-type Verdict struct {
-	// Doubled counts keys that had an effect more than once.
-	Doubled int
-	// Lost counts operations that were told run but that no upstream finished,
-	// or finished with another body.
-	Lost int
-	// ToldNotRun counts operations that ran although an entry told at a later
-	// time, or as the last word, that they had not been run.
-	ToldNotRun int
-	// Bad counts answers that looked whole and were not the request's own.
-	Bad int
-	// Unlabelled counts answers without an outcome.
-	Unlabelled int
-	// Over counts requests beyond an upstream's slots.
-	Over int
-	// AfterLeaving counts requests to upstreams that left.
-	AfterLeaving int
-	// Unasked counts effects of keys that no caller sent.
-	Unasked  int
-	Examples []string
+// The kinds of violations.
+const (
+	// Doubled keys had an effect more than once.
+	Doubled Kind = "doubled"
+	// Lost operations were told run but no upstream finished them, or one
+	// finished them with another body.
+	Lost Kind = "lost"
+	// ToldNotRun operations ran although an entry told at a later time, or as
+	// the last word, that they had not been run.
+	ToldNotRun Kind = "told not run"
+	// Bad answers looked whole and were not the request's own.
+	Bad Kind = "bad answer"
+	// Unlabelled answers had no outcome.
+	Unlabelled Kind = "no outcome"
+	// Over requests came beyond an upstream's slots.
+	Over Kind = "over slots"
+	// AfterLeaving requests came to upstreams that left.
+	AfterLeaving Kind = "after leaving"
+	// Unasked effects had keys that no caller sent.
+	Unasked Kind = "unasked"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Kind Kind
+	// Subject is the key, nonce or upstream.
+	Subject string
+	// Count is how often it happened to the subject.
+	Count int
+	Text  string
+}
+
+// Violations are those of one comparison.
+type Violations []Violation
+
+// Count sums the violations of a kind.
+func (v Violations) Count(kind Kind) int {
+	n := 0
+	for i := range v {
+		if v[i].Kind == kind {
+			n += v[i].Count
+		}
+	}
+	return n
 }
 
 // Judge compares the operations of all callers, which must have ended, with
 // the ledger of all upstreams.
-func Judge(ops []*caller.Op, l upstream.Ledger) Verdict {
-	v := Verdict{}
+func Judge(ops []*caller.Op, l upstream.Ledger) Violations {
+	var v Violations
 	effects := map[string][]upstream.Record{}
+	var keys []string
 	for _, r := range l.Records {
-		if r.Effect() {
-			effects[r.Key] = append(effects[r.Key], r)
+		if !r.Effect() {
+			continue
+		}
+		if effects[r.Key] == nil {
+			keys = append(keys, r.Key)
 		}
+		effects[r.Key] = append(effects[r.Key], r)
 	}
 	asked := map[string]bool{}
 	for _, op := range ops {
 		asked[op.Key] = true
 		v.judgeOp(op, effects[op.Key])
 	}
-	for key, records := range effects {
-		if len(records) > 1 {
-			v.add(&v.Doubled, "doubled %s: %s", key, describe(records))
+	for _, key := range keys {
+		if records := effects[key]; len(records) > 1 {
+			v.add(Doubled, key, 1, describe(records))
 		}
 		if !asked[key] {
-			v.add(&v.Unasked, "unasked %s: %s", key, describe(records))
+			v.add(Unasked, key, 1, describe(effects[key]))
 		}
 	}
 	for _, u := range l.Upstreams {
-		v.addCount(&v.Over, int(u.Over), "over slots", u.Upstream)
-		v.addCount(&v.AfterLeaving, int(u.AfterLeaving), "new work after leaving", u.Upstream)
+		v.add(Over, u.Upstream, int(u.Over), fmt.Sprintf("%d slots", u.Slots))
+		v.add(AfterLeaving, u.Upstream, int(u.AfterLeaving), "")
 	}
 	return v
 }
 
 // judgeOp compares one operation with its effects.
-func (v *Verdict) judgeOp(op *caller.Op, effects []upstream.Record) {
+func (v *Violations) judgeOp(op *caller.Op, effects []upstream.Record) {
 	if op.Bad != "" {
-		v.add(&v.Bad, "bad answer to %s %s: %s", op.Service, op.Nonce, op.Bad)
-	}
-	if op.Unlabelled > 0 {
-		v.add(&v.Unlabelled, "%d answers without outcome to %s %s", op.Unlabelled, op.Service, op.Nonce)
+		v.add(Bad, op.Nonce, 1, op.Service+": "+op.Bad)
 	}
+	v.add(Unlabelled, op.Nonce, op.Unlabelled, op.Service)
 	if op.Key == "" {
 		return
 	}
 	if op.Outcome == work.Run && !finished(op, effects) {
-		v.add(&v.Lost, "lost %s %s: told run by %s, ledger: %s", op.Service, op.Key, op.Upstream, describe(effects))
+		v.add(Lost, op.Key, 1, fmt.Sprintf("%s, told run by %q, ledger: %s", op.Service, op.Upstream, describe(effects)))
 	}
 	if told(op, effects) {
-		v.add(&v.ToldNotRun, "told not run %s %s at %v (last word %s), ledger: %s", op.Service, op.Key, op.NotRun, op.Outcome, describe(effects))
+		v.add(ToldNotRun, op.Key, 1, fmt.Sprintf("%s, told at %s, last word %s (%s), ledger: %s",
+			op.Service, times(op), op.Outcome, op.Reason, describe(effects)))
 	}
 }
 
@@ -110,31 +137,23 @@
 	return false
 }
 
-// add counts a violation and keeps an example.
-func (v *Verdict) add(count *int, format string, args ...any) {
-	*count++
-	if *count <= maxExamples {
-		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
-	}
-}
-
-// addCount adds violations that were counted elsewhere.
-func (v *Verdict) addCount(count *int, n int, what, where string) {
-	if n > 0 {
-		*count += n
-		v.Examples = append(v.Examples, fmt.Sprintf("%s: %d at %s", what, n, where))
+// add notes a violation that happened at least once.
+func (v *Violations) add(kind Kind, subject string, count int, text string) {
+	if count > 0 {
+		*v = append(*v, Violation{Kind: kind, Subject: subject, Count: count, Text: text})
 	}
 }
 
-// Held reports whether nothing was violated.
-func (v Verdict) Held() bool {
-	return v.Doubled+v.Lost+v.ToldNotRun+v.Bad+v.Unlabelled+v.Over+v.AfterLeaving+v.Unasked == 0
-}
+// clock is how times are shown.
+const clock = "15:04:05.000"
 
-// String lists the counts in one line.
-func (v Verdict) String() string {
-	return fmt.Sprintf("doubled %d, lost %d, told not run %d, bad %d, without outcome %d, over slots %d, after leaving %d, unasked %d",
-		v.Doubled, v.Lost, v.ToldNotRun, v.Bad, v.Unlabelled, v.Over, v.AfterLeaving, v.Unasked)
+// times lists when an operation was told not run.
+func times(op *caller.Op) string {
+	var parts []string
+	for _, at := range op.NotRun {
+		parts = append(parts, at.Format(clock))
+	}
+	return strings.Join(parts, ", ")
 }
 
 // describe shows records in short.
@@ -144,7 +163,7 @@
 	}
 	var parts []string
 	for _, r := range records {
-		parts = append(parts, fmt.Sprintf("%s at %s, %s to %s", r.End, r.Upstream, r.Start.Format("15:04:05.000"), r.Finish.Format("15:04:05.000")))
+		parts = append(parts, fmt.Sprintf("%s at %s, %s to %s", r.End, r.Upstream, r.Start.Format(clock), r.Finish.Format(clock)))
 	}
 	return strings.Join(parts, "; ")
 }
--- a/internal/lab/verdict/verdict_test.go
+++ b/internal/lab/verdict/verdict_test.go
@@ -22,50 +22,71 @@
 	return &caller.Op{Key: key, Outcome: outcome, Digest: "d", NotRun: notRun, Attempts: 1}
 }
 
+// kinds lists the kinds of violations in order.
+func kinds(v verdict.Violations) []verdict.Kind {
+	var all []verdict.Kind
+	for _, x := range v {
+		all = append(all, x.Kind)
+	}
+	return all
+}
+
 func TestJudge(t *testing.T) {
 	before, after := start.Add(-time.Second), start.Add(time.Second)
 	wrongBody := op("k", work.Run)
 	wrongBody.Digest = "other"
+	done, canceled, cut := record("k", upstream.Done), record("k", upstream.Canceled), record("k", upstream.Cut)
+	type records = []upstream.Record
 	cases := []struct {
 		name    string
 		op      *caller.Op
-		records []upstream.Record
-		want    verdict.Verdict
+		records records
+		want    []verdict.Kind
 	}{
-		{"run once", op("k", work.Run), []upstream.Record{record("k", upstream.Done)}, verdict.Verdict{}},
-		{"run after a cut body", op("k", work.Run), []upstream.Record{record("k", upstream.Cut), record("k", upstream.Done)}, verdict.Verdict{}},
-		{"not run", op("k", work.NotRun, before), nil, verdict.Verdict{}},
-		{"not run, then run", op("k", work.Run, before), []upstream.Record{record("k", upstream.Done)}, verdict.Verdict{}},
-		{"unknown, run", op("k", work.Unknown), []upstream.Record{record("k", upstream.Canceled)}, verdict.Verdict{}},
-		{"unknown, not run", op("k", work.Unknown), nil, verdict.Verdict{}},
-		{"doubled", op("k", work.Run), []upstream.Record{record("k", upstream.Done), record("k", upstream.Canceled)}, verdict.Verdict{Doubled: 1}},
-		{"lost", op("k", work.Run), nil, verdict.Verdict{Lost: 1}},
-		{"lost half way", op("k", work.Run), []upstream.Record{record("k", upstream.Canceled)}, verdict.Verdict{Lost: 1}},
-		{"another body", wrongBody, []upstream.Record{record("k", upstream.Done)}, verdict.Verdict{Lost: 1}},
-		{"told not run after it ran", op("k", work.Run, after), []upstream.Record{record("k", upstream.Done)}, verdict.Verdict{ToldNotRun: 1}},
-		{"ran after the last word", op("k", work.NotRun, before), []upstream.Record{record("k", upstream.Canceled)}, verdict.Verdict{ToldNotRun: 1}},
-		{"of nobody", op("k", work.Unknown), []upstream.Record{record("x", upstream.Done)}, verdict.Verdict{Unasked: 1}},
+		{"run once", op("k", work.Run), records{done}, nil},
+		{"run after a cut body", op("k", work.Run), records{cut, done}, nil},
+		{"not run", op("k", work.NotRun, before), nil, nil},
+		{"not run, then run", op("k", work.Run, before), records{done}, nil},
+		{"unknown, run", op("k", work.Unknown), records{canceled}, nil},
+		{"unknown, not run", op("k", work.Unknown), nil, nil},
+		{"doubled", op("k", work.Run), records{done, canceled}, []verdict.Kind{verdict.Doubled}},
+		{"lost", op("k", work.Run), nil, []verdict.Kind{verdict.Lost}},
+		{"lost half way", op("k", work.Run), records{canceled}, []verdict.Kind{verdict.Lost}},
+		{"another body", wrongBody, records{done}, []verdict.Kind{verdict.Lost}},
+		{"told not run after it ran", op("k", work.Run, after), records{done}, []verdict.Kind{verdict.ToldNotRun}},
+		{"ran after the last word", op("k", work.NotRun, before), records{canceled}, []verdict.Kind{verdict.ToldNotRun}},
+		{"of nobody", op("k", work.Unknown), records{record("x", upstream.Done)}, []verdict.Kind{verdict.Unasked}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			got := verdict.Judge([]*caller.Op{c.op}, upstream.Ledger{Records: c.records})
-			g.Expect(got.Examples).To(gomega.HaveLen(len(c.want.Examples) + broken(c.want)))
-			g.Expect(got.Held()).To(gomega.Equal(broken(c.want) == 0))
-			got.Examples = nil
-			g.Expect(got).To(gomega.Equal(c.want))
+			g.Expect(kinds(got)).To(gomega.Equal(c.want))
 		})
 	}
 }
 
 func TestJudgeCountsWhatUpstreamsAndCallersSaw(t *testing.T) {
 	g := gomega.NewWithT(t)
-	o := &caller.Op{Bad: "cut", Unlabelled: 2, Outcome: work.Run}
-	got := verdict.Judge([]*caller.Op{o}, upstream.Ledger{Upstreams: []upstream.Counts{{Over: 2, AfterLeaving: 3}, {Over: 1}}})
-	got.Examples = nil
-	g.Expect(got).To(gomega.Equal(verdict.Verdict{Bad: 1, Unlabelled: 1, Over: 3, AfterLeaving: 3}))
-	g.Expect(got.Held()).To(gomega.BeFalse())
+	o := &caller.Op{Nonce: "n", Bad: "cut", Unlabelled: 2, Outcome: work.Run}
+	l := upstream.Ledger{Upstreams: []upstream.Counts{{Upstream: "a", Over: 2, AfterLeaving: 3}, {Upstream: "b", Over: 1}}}
+	got := verdict.Judge([]*caller.Op{o}, l)
+	g.Expect(got.Count(verdict.Bad)).To(gomega.Equal(1))
+	g.Expect(got.Count(verdict.Unlabelled)).To(gomega.Equal(2))
+	g.Expect(got.Count(verdict.Over)).To(gomega.Equal(3))
+	g.Expect(got.Count(verdict.AfterLeaving)).To(gomega.Equal(3))
 }
 
-// broken is the number of violations that the cases expect.
-func broken(v verdict.Verdict) int { return v.Doubled + v.Lost + v.ToldNotRun + v.Unasked }
+func TestHistoryReportsEachViolationOnceAlsoWhenItShowsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := verdict.NewHistory()
+	h.Add([]*caller.Op{op("k", work.Run)})
+	l := upstream.Ledger{Records: []upstream.Record{record("k", upstream.Done)}, Upstreams: []upstream.Counts{{Upstream: "u", Over: 1}}}
+	g.Expect(kinds(h.Judge(l))).To(gomega.Equal([]verdict.Kind{verdict.Over}))
+	g.Expect(h.Judge(l)).To(gomega.BeEmpty())
+	l.Records = append(l.Records, record("k", upstream.Canceled))
+	l.Upstreams[0].Over = 4
+	got := h.Judge(l)
+	g.Expect(kinds(got)).To(gomega.Equal([]verdict.Kind{verdict.Doubled, verdict.Over}))
+	g.Expect(got.Count(verdict.Over)).To(gomega.Equal(3))
+}
