--- a/internal/lab/caller/operation.go
+++ b/internal/lab/caller/operation.go
@@ -37,6 +37,8 @@
 	Bad      string      `json:"bad,omitempty"`
 	// Cut counts answers that broke off and were seen to.
 	Cut int `json:"cut,omitempty"`
+	// Unreached counts entries that took no connection.
+	Unreached int `json:"unreached,omitempty"`
 	// Unlabelled counts answers without an outcome.
 	Unlabelled int `json:"unlabelled,omitempty"`
 	// Late is set when the answer came after the deadline of its attempt.
@@ -47,7 +49,7 @@
 // are reached. It always keeps the key. With twice each attempt goes through
 // two entries at once.
 func (c *Caller) Operate(ctx context.Context, call *Call, twice bool) *Op {
-	op := &Op{Key: call.Key, Nonce: call.Nonce, Service: call.Service, Kind: call.Kind, Digest: answer.Digest(call.Body), Start: time.Now()}
+	op := newOp(call)
 	ctx, cancel := context.WithTimeout(ctx, maxOperation)
 	defer cancel()
 	for op.Attempts < maxAttempts && ctx.Err() == nil {
@@ -61,6 +63,21 @@
 	return op
 }
 
+// newOp returns the operation of a call before its first attempt.
+func newOp(call *Call) *Op {
+	return &Op{Key: call.Key, Nonce: call.Nonce, Service: call.Service, Kind: call.Kind, Digest: answer.Digest(call.Body), Start: time.Now()}
+}
+
+// Combine returns the operation that consists of attempts made one by one.
+func Combine(call *Call, attempts ...Result) *Op {
+	op := newOp(call)
+	for _, r := range attempts {
+		op.note(r)
+		op.Outcome, op.Reason, op.End = r.Outcome, r.Reason, r.At
+	}
+	return op
+}
+
 // attempt sends the call once and notes what was learned.
 func (c *Caller) attempt(ctx context.Context, call *Call, op *Op, twice bool) Result {
 	entries := c.directory.entries(ctx, call.Service)
@@ -112,6 +129,9 @@
 // note adds the result of one attempt.
 func (op *Op) note(r Result) {
 	op.Attempts++
+	if !r.Sent {
+		op.Unreached++
+	}
 	if r.Told && r.Outcome == work.NotRun {
 		op.NotRun = append(op.NotRun, r.At)
 	}
