Add the command line of operators

Commands for presets, status, drains, settings, keys and credentials, each with help, examples and JSON output.

Each change carries an operation id; when its outcome is not known the command prints the id with which it can be repeated safely. The token comes from a file or the environment, not from a flag, since command lines are visible to others. A preset file is checked before it is sent, so that a fault shows its line. 'keys init' never replaces an authority, which would cut off every instance.

'entry' fails with a message until the daemon is wired in.

go test -race ./cmd/sycamoreledge ./internal/client passes.

--- /dev/null
+++ b/cmd/sycamoreledge/entry.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/zeebo/errs"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+type entryCommand struct {
+	Settings string `help:"YAML settings file of the instance." required:"" placeholder:"FILE"`
+}
+
+// Run runs the daemon until it is told to stop. The first SIGTERM or SIGINT
+// begins a planned stop; a second one ends the process at once.
+func (c *entryCommand) Run(env *environment) error {
+	ctx, restore := signal.NotifyContext(env.ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer restore()
+	context.AfterFunc(ctx, restore)
+	return runEntry(ctx, c.Settings)
+}
+
+// runEntry is the daemon.
+func runEntry(context.Context, string) error {
+	return errs.New("this build holds no daemon")
+}
+
+type versionCommand struct{}
+
+// versionInfo is what the version command prints.
+type versionInfo struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+	Module  string `json:"module"`
+}
+
+// Run prints the version.
+func (versionCommand) Run(env *environment) error {
+	info := versionInfo{Version: version, Go: runtime.Version()}
+	if build, ok := debug.ReadBuildInfo(); ok {
+		info.Module = build.Main.Path
+	}
+	return env.print(info, func() error {
+		env.printf("sycamoreledge %s (%s)\n", info.Version, info.Go)
+		return nil
+	})
+}
--- /dev/null
+++ b/cmd/sycamoreledge/settings.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/zeebo/errs"
+
+	"sycamoreledge.example/internal/settings"
+)
+
+type settingsCommands struct {
+	Check settingsCheckCommand `cmd:"" help:"Check a settings file and all files that it names."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" help:"Settings file of an instance."`
+}
+
+// settingsSummary is what a valid settings file leads to.
+type settingsSummary struct {
+	Instance  string `json:"instance"`
+	Firm      string `json:"firm"`
+	Preset    string `json:"preset"`
+	Operators int    `json:"operators"`
+}
+
+// Run checks the settings and the keys.
+func (c *settingsCheckCommand) Run(env *environment) error {
+	bundle, err := settings.LoadBundle(c.File)
+	if err != nil {
+		return err
+	}
+	keys := &environment{ctx: env.ctx, stdout: env.stderr, stderr: env.stderr, output: "table"}
+	if err := keys.checkKeys(bundle.Settings); err != nil {
+		return err
+	}
+	summary := settingsSummary{
+		Instance:  bundle.Settings.Instance,
+		Firm:      bundle.Topology.Firm,
+		Preset:    bundle.Preset.Name,
+		Operators: len(bundle.Operators),
+	}
+	return env.print(summary, func() error {
+		env.printf("%s is valid: instance %s of %s, first preset %s, %d operators\n",
+			c.File, summary.Instance, summary.Firm, summary.Preset, summary.Operators)
+		return nil
+	})
+}
+
+type operatorCommands struct {
+	Add operatorAddCommand `cmd:"" help:"Make a token for an operator and add its digest to the credentials file."`
+}
+
+type operatorAddCommand struct {
+	Name      string `arg:"" help:"Name that the audit records will show."`
+	File      string `help:"Credentials file of the instances; created when missing." required:"" placeholder:"FILE"`
+	TokenFile string `help:"File for the token; without it the token is printed once." placeholder:"FILE"`
+}
+
+// tokenBytes is the length of a token before hexadecimal coding.
+const tokenBytes = 32
+
+// Run adds an operator. The instances read the file when they start.
+func (c *operatorAddCommand) Run(env *environment) error {
+	operators, err := readOperators(c.File)
+	if err != nil {
+		return err
+	}
+	for _, o := range operators {
+		if o.Name == c.Name {
+			return errs.New("%s has an operator %s already", c.File, c.Name)
+		}
+	}
+	var secret [tokenBytes]byte
+	rand.Read(secret[:]) //nolint:errcheck // never fails
+	token := hex.EncodeToString(secret[:])
+	sum := sha256.Sum256([]byte(token))
+	operators = append(operators, settings.Operator{Name: c.Name, TokenSHA256: hex.EncodeToString(sum[:])})
+	text, err := yaml.Marshal(operators)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	if err := c.writeToken(token); err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.File, text, privateFile); err != nil {
+		return errs.Wrap(err)
+	}
+	return c.print(env, token)
+}
+
+// readOperators returns the operators of a file; a missing file has none.
+func readOperators(file string) ([]settings.Operator, error) {
+	if _, err := os.Stat(file); errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	return settings.LoadOperators(file)
+}
+
+// writeToken stores the token in a new file that only its owner may read.
+func (c *operatorAddCommand) writeToken(token string) error {
+	if c.TokenFile == "" {
+		return nil
+	}
+	file, err := os.OpenFile(c.TokenFile, os.O_WRONLY|os.O_CREATE|os.O_EXCL, privateFile)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	if _, err := file.WriteString(token + "\n"); err != nil {
+		return errs.Combine(err, file.Close())
+	}
+	return errs.Wrap(file.Close())
+}
+
+// addedOperator is what 'operators add' prints.
+type addedOperator struct {
+	Name  string `json:"name"`
+	File  string `json:"file"`
+	Token string `json:"token,omitempty"`
+}
+
+func (c *operatorAddCommand) print(env *environment, token string) error {
+	added := addedOperator{Name: c.Name, File: c.File}
+	if c.TokenFile == "" {
+		added.Token = token
+	}
+	return env.print(added, func() error {
+		env.printf("added %s to %s\n", added.Name, added.File)
+		if added.Token != "" {
+			env.printf("token (shown once): %s\n", added.Token)
+		}
+		return nil
+	})
+}
--- a/internal/api/wire/wire.go
+++ b/internal/api/wire/wire.go
@@ -55,11 +55,14 @@
 	Detail json.RawMessage `json:"detail,omitempty"`
 }
 
-// Conflict tells who changed the configuration first.
+// Conflict tells which changes came first.
 type Conflict struct {
-	Version int64                 `json:"version"`
-	InForce string                `json:"in_force"`
-	Winner  *settings.AuditRecord `json:"winner,omitempty"`
+	// Base is the version that the refused change was made for, Current the one
+	// that was found.
+	Base    int64 `json:"base"`
+	Current int64 `json:"current"`
+	// Won are the changes in between, the oldest first, as far as known.
+	Won []settings.AuditRecord `json:"won"`
 }
 
 // Entries is the answer to GET /v1/entries.
@@ -127,10 +130,12 @@
 
 // Changed is the answer to an accepted change.
 type Changed struct {
-	Operation string           `json:"operation"`
-	Version   int64            `json:"version"`
-	InForce   string           `json:"in_force"`
-	Drains    []settings.Drain `json:"drains"`
+	Operation string `json:"operation"`
+	// Repeated is set when an earlier call had made the change already.
+	Repeated bool             `json:"repeated"`
+	Version  int64            `json:"version"`
+	InForce  string           `json:"in_force"`
+	Drains   []settings.Drain `json:"drains"`
 }
 
 // Leaving is the answer to POST /v1/leave.
--- a/internal/client/calls.go
+++ b/internal/client/calls.go
@@ -50,9 +50,10 @@
 	return get[wire.Preset](ctx, c, call{method: http.MethodGet, path: "/v1/presets/" + url.PathEscape(name)})
 }
 
-// History returns the audit records, the newest first.
-func (c *Client) History(ctx context.Context) (*wire.History, error) {
-	return get[wire.History](ctx, c, call{method: http.MethodGet, path: "/v1/history"})
+// History returns at most limit audit records, the newest first.
+func (c *Client) History(ctx context.Context, limit int) (*wire.History, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	return get[wire.History](ctx, c, call{method: http.MethodGet, path: "/v1/history", query: query})
 }
 
 // Apply stores a preset, given in YAML, under its name.
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -146,7 +146,7 @@
 
 func TestConflictShowsTheWinner(t *testing.T) {
 	g := gomega.NewWithT(t)
-	winner := wire.Conflict{Version: 9, InForce: "peak", Winner: &settings.AuditRecord{Operator: "ada"}}
+	winner := wire.Conflict{Base: 8, Current: 9, Won: []settings.AuditRecord{{Operator: "ada"}}}
 	detail, err := json.Marshal(winner)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	live := newInstance(t, 409, wire.Error{Code: wire.CodeConflict, Message: "m", Detail: detail})
