Limit shifts and links by shares that hold in every window

A bucket passes at most rate*w plus a fixed burst in a window w; a shift grows from 5 % to its share within the preset's ramp and decays when it is not used.

--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,83 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/limit"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// passed returns when a shift passed requests that arrive at random.
+func passed(seed uint64, rate float64, ramp, total time.Duration) []time.Duration {
+	source := rand.New(rand.NewPCG(seed, 2))
+	var s limit.Shift
+	var at []time.Duration
+	for now := time.Duration(0); now < total; now += time.Duration(source.ExpFloat64() * float64(time.Second) / (4 * rate)) {
+		if s.Allow(epoch.Add(now), rate, ramp) {
+			at = append(at, now)
+		}
+	}
+	return at
+}
+
+func TestShiftStaysWithinItsRateInEveryWindow(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, rate := range []float64{0.7, 5, 60, 400} {
+			g := gomega.NewWithT(t)
+			at := passed(seed, rate, 0, 20*time.Second)
+			g.Expect(float64(len(at))).To(gomega.BeNumerically(">", 0.7*20*rate))
+			burst := limit.ShiftBurst(rate)
+			for i := range at {
+				for j := i; j < len(at); j++ {
+					most := rate*(at[j]-at[i]).Seconds() + burst
+					if float64(j-i+1) > most+1e-6 {
+						t.Fatalf("seed %d rate %v: %d in %v", seed, rate, j-i+1, at[j]-at[i])
+					}
+				}
+			}
+		}
+	}
+}
+
+func TestShiftRampsUpAndDecays(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const rate, ramp = 100.0, 10 * time.Second
+	at := passed(1, rate, ramp, 20*time.Second)
+	perSecond := make([]int, 20)
+	for _, d := range at {
+		perSecond[d/time.Second]++
+	}
+	t.Logf("seed 1, requests in each second: %v", perSecond)
+	g.Expect(perSecond[0]).To(gomega.BeNumerically("<=", 12))
+	g.Expect(perSecond[4]).To(gomega.BeNumerically("~", 48, 8))
+	g.Expect(perSecond[15]).To(gomega.BeNumerically("~", 100, 3))
+
+	var r limit.Ramp
+	for now := time.Duration(0); now <= 20*time.Second; now += 100 * time.Millisecond {
+		r.Level(epoch.Add(now), ramp)
+	}
+	g.Expect(r.Level(epoch.Add(25*time.Second), ramp)).To(gomega.BeNumerically("~", 0.52, 0.02))
+	g.Expect(r.Level(epoch.Add(60*time.Second), ramp)).To(gomega.BeNumerically("~", 0.05, 0.001))
+}
+
+func TestForbiddenShift(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s limit.Shift
+	g.Expect(s.Allow(epoch, 0, 0)).To(gomega.BeFalse())
+}
+
+func TestBorrowersPayBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b limit.Bucket
+	g.Expect(b.Take(epoch, 10, 100, 10)).To(gomega.BeTrue())
+	g.Expect(b.Borrow(epoch, 10, 100, 10, 10)).To(gomega.BeTrue())
+	g.Expect(b.Borrow(epoch, 1, 100, 10, 10)).To(gomega.BeFalse())
+	g.Expect(b.Wait(epoch, 5, 100, 10)).To(gomega.BeNumerically("~", 150*time.Millisecond, time.Microsecond))
+	g.Expect(b.Take(epoch.Add(149*time.Millisecond), 5, 100, 10)).To(gomega.BeFalse())
+	g.Expect(b.Take(epoch.Add(151*time.Millisecond), 5, 100, 10)).To(gomega.BeTrue())
+}
