--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	bitsPerByte = 8
-	mega        = 1e6
 	// burstTime is the time whose bytes may leave at once, minBurst its floor.
 	burstTime = 20 * time.Millisecond
 	minBurst  = 16 << 10 // bytes
@@ -138,23 +136,14 @@
 // share is this instance's part of the cap towards a region, in bytes a second.
 func (t *Transport) share(region string) float64 {
 	own := t.regionOf[t.self]
-	capacity := 0.0 // Mbit/s
-	for _, l := range t.topology.Links {
-		if joins(l.Between, own, region) {
-			capacity = l.Rate
-		}
+	rate := 0.0
+	if l := t.topology.Link(own, region); l != nil {
+		rate = l.BytesPerSecond()
 	}
-	for _, l := range t.snapshot().Preset.Links {
-		if joins(l.Between, own, region) {
-			capacity = min(l.Cap, capacity)
-		}
+	if l := t.snapshot().Preset.Link(own, region); l != nil {
+		rate = min(rate, l.BytesPerSecond())
 	}
-	return capacity * mega / bitsPerByte / float64(max(t.declared[own], 1))
-}
-
-func joins(between []string, a, b string) bool {
-	return len(between) == 2 &&
-		(between[0] == a && between[1] == b || between[0] == b && between[1] == a)
+	return rate / float64(max(t.declared[own], 1))
 }
 
 // take waits until n bytes may leave. Bytes of uploads wait for tokens, others
--- a/internal/traffic/owner/owner.go
+++ b/internal/traffic/owner/owner.go
@@ -97,18 +97,23 @@
 // have requests in flight here.
 func (o *Owner) Load() []control.PoolStatus {
 	var rows []control.PoolStatus
-	for id, p := range o.pools {
-		may := o.permit(p)
-		p.mu.Lock()
-		row := control.PoolStatus{Pool: id, Slots: p.slots(may), Busy: p.busy(), Queued: p.waiting.Len()}
-		p.mu.Unlock()
-		if may.owned || row.Busy > 0 {
+	for _, p := range o.pools {
+		row, owned := o.load(p)
+		if owned || row.Busy > 0 {
 			rows = append(rows, row)
 		}
 	}
 	return rows
 }
 
+func (o *Owner) load(p *pool) (control.PoolStatus, bool) {
+	may := o.permit(p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := control.PoolStatus{Pool: p.id, Slots: p.slots(may), Busy: p.busy(), Queued: p.waiting.Len()}
+	return row, may.owned
+}
+
 // permit is what a pool may do at one instant.
 type permit struct {
 	now      time.Time
