Route requests to the pools of the zone, the region and beyond

The entry asks its own zone first, then the region, each for a free slot; a request waits only in its own zone's queue. Other regions are asked when the region refuses, or when the wait at home is longer than one and a half round trips, within this instance's share of the shift cap; the receiving owner enforces the sender's share and takes the origin from the authenticated sender. A refusal that proves that nothing ran leads to the next candidate as long as the body can be sent again. Lookups may follow an unknown outcome within the retry budget; other kinds never.

Virtual time, 2 zones of 2 upstreams with 3 slots: at three times the load of the region no upstream is over its slots, no refused order ran, and more than 0.9 of the capacity is served (TestOverloadKeepsThePromises).

--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -61,6 +61,16 @@
 	return b.last, true
 }
 
+// Detach ends the reader of the last attempt, so that nothing reads the source
+// any more once it returns and a pending read is over.
+func (b *Body) Detach() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.last != nil {
+		b.last.detached = true
+	}
+}
+
 // Shared returns a further reader without detaching the others. It requires
 // that the whole body was read into the buffer, or that there is none.
 func (b *Body) Shared() (io.Reader, bool) {
--- /dev/null
+++ b/internal/traffic/fleet_test.go
@@ -0,0 +1,278 @@
+package traffic_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/peer"
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/traffic"
+	"sycamoreledge.example/internal/traffic/owner"
+	"sycamoreledge.example/internal/upstream"
+	"sycamoreledge.example/internal/work"
+)
+
+const (
+	digestInterval = 500 * time.Millisecond
+	zoneLatency    = time.Millisecond
+	regionLatency  = 35 * time.Millisecond
+)
+
+// backend is one upstream without a network.
+type backend struct {
+	slow    float64 // factor of the service time
+	running int
+	most    int
+	runs    int
+}
+
+// fleet is all instances of a firm with their owners and routers, joined by a
+// transport without a network. Its zones are z1 to z4, of which two are in each
+// of the regions r1 and r2, with one instance each, named i1 to i4.
+type fleet struct {
+	topology *settings.Topology
+	preset   *settings.Preset
+	kind     work.Kind
+	service  func(*rand.Rand) time.Duration
+	routers  map[string]*traffic.Router
+	owners   map[string]*owner.Owner
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	backends map[string]*backend
+	ran      map[string]int // by request
+	cut      map[string]bool
+	loads    map[work.PoolID]control.PoolOwner
+	drained  map[string]bool
+	next     int
+}
+
+func newFleet(kind work.Kind, upstreams, slots int, seed uint64) *fleet {
+	f := &fleet{
+		kind:     kind,
+		service:  func(*rand.Rand) time.Duration { return 20 * time.Millisecond },
+		routers:  map[string]*traffic.Router{},
+		owners:   map[string]*owner.Owner{},
+		random:   rand.New(rand.NewPCG(seed, 9)),
+		backends: map[string]*backend{},
+		ran:      map[string]int{},
+		cut:      map[string]bool{},
+		loads:    map[work.PoolID]control.PoolOwner{},
+		drained:  map[string]bool{},
+	}
+	f.topology = &settings.Topology{
+		Services: []settings.Service{{Name: "s", Kind: kind}},
+		Links:    []settings.Link{{Between: []string{"r1", "r2"}, Rate: 280, Latency: 35}},
+	}
+	for z := 1; z <= 4; z++ {
+		zone := settings.Zone{Name: fmt.Sprintf("z%d", z), Instances: []settings.Instance{{Name: fmt.Sprintf("i%d", z)}}}
+		if z%2 == 1 {
+			f.topology.Regions = append(f.topology.Regions, settings.Region{Name: fmt.Sprintf("r%d", (z+1)/2)})
+		}
+		region := &f.topology.Regions[(z-1)/2]
+		region.Zones = append(region.Zones, zone)
+		pool := settings.Pool{Zone: zone.Name}
+		for u := range upstreams {
+			name := fmt.Sprintf("%s-u%d", zone.Name, u)
+			pool.Upstreams = append(pool.Upstreams, settings.Upstream{Name: name, Slots: slots})
+			f.backends[name] = &backend{slow: 1}
+		}
+		f.topology.Services[0].Pools = append(f.topology.Services[0].Pools, pool)
+	}
+	f.preset = &settings.Preset{
+		Headroom: 0.1,
+		Services: []settings.ServicePolicy{{
+			Name: "s", Deadline: 2 * time.Second, DispatchTimeout: 2 * time.Second, Queue: 500,
+			RetryBudget: 0.05, ShiftRate: 100,
+		}},
+	}
+	return f
+}
+
+// start builds the instances and runs them until the context ends.
+func (f *fleet) start(ctx context.Context) {
+	for _, instance := range f.topology.Instances() {
+		name := instance.Name
+		snapshot := func() *control.Snapshot { return f.snapshot(name) }
+		f.owners[name] = owner.New(owner.Options{
+			Snapshot: snapshot, Topology: f.topology, Upstreams: f, ProbeInterval: 500 * time.Millisecond,
+		})
+		f.routers[name] = traffic.New(traffic.Options{
+			Snapshot: snapshot, Topology: f.topology, Self: name, Pools: f.owners[name],
+			Peers: &wire{fleet: f, self: name},
+		})
+		go f.owners[name].Run(ctx)
+	}
+	f.digest()
+	go func() {
+		ticker := time.NewTicker(digestInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				f.digest()
+			}
+		}
+	}()
+}
+
+// digest publishes the load of all pools.
+func (f *fleet) digest() {
+	for name, o := range f.owners {
+		for _, row := range o.Load() {
+			f.mu.Lock()
+			f.loads[row.Pool] = control.PoolOwner{
+				Instance: name, Slots: row.Slots, Busy: row.Busy, Queued: row.Queued, At: time.Now(),
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+func (f *fleet) snapshot(self string) *control.Snapshot {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	snap := &control.Snapshot{
+		At: now, Self: self, Preset: f.preset, DrainedZones: f.drained,
+		Pools: map[work.PoolID]*control.PoolView{},
+		Owned: map[work.PoolID]control.Grant{},
+	}
+	for i, instance := range f.topology.Instances() {
+		id := work.PoolID{Service: "s", Zone: fmt.Sprintf("z%d", i+1)}
+		snap.Pools[id] = &control.PoolView{ID: id}
+		if f.cut[instance.Name] && instance.Name != self {
+			continue
+		}
+		load := f.loads[id]
+		load.Instance = instance.Name
+		snap.Pools[id].Owners = []control.PoolOwner{load}
+		if instance.Name == self {
+			snap.Owned[id] = control.Grant{BaseUntil: now.Add(time.Second), FullUntil: now.Add(time.Second)}
+		}
+	}
+	return snap
+}
+
+// Do implements owner.Dispatcher.
+func (f *fleet) Do(ctx context.Context, t upstream.Target, req *work.Request, body io.Reader, _ time.Time) upstream.Result {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return upstream.Result{Response: work.Uncertain(work.ReasonUpstreamBroken), Silent: true}
+	}
+	f.mu.Lock()
+	b := f.backends[t.Name]
+	b.running++
+	b.runs++
+	b.most = max(b.most, b.running)
+	f.ran[req.ID]++
+	duration := time.Duration(float64(f.service(f.random)) * b.slow)
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		b.running--
+	}()
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return upstream.Result{Response: &work.Response{
+			Outcome: work.Run, Status: http.StatusOK, Header: http.Header{}, Upstream: t.Name,
+			Body: io.NopCloser(strings.NewReader(req.ID)), Length: int64(len(req.ID)),
+		}}
+	case <-ctx.Done():
+		reason := work.ReasonUpstreamTimeout
+		if errors.Is(ctx.Err(), context.Canceled) {
+			reason = work.ReasonCanceled
+		}
+		return upstream.Result{Response: work.Uncertain(reason), Silent: true}
+	}
+}
+
+// Probe implements owner.Dispatcher.
+func (f *fleet) Probe(ctx context.Context, _ upstream.Target) (upstream.Health, error) {
+	pause(ctx, zoneLatency)
+	return upstream.Live, nil
+}
+
+// wire is the transport of one instance.
+type wire struct {
+	peer.Transport
+	fleet *fleet
+	self  string
+}
+
+func (w *wire) Do(ctx context.Context, to string, _ peer.Role, req *work.Request) *work.Response {
+	w.fleet.mu.Lock()
+	cut := w.fleet.cut[to] || w.fleet.cut[w.self]
+	w.fleet.mu.Unlock()
+	if cut {
+		return work.Refuse(work.ReasonPeerUnreachable, 0)
+	}
+	latency := zoneLatency
+	if (to[1]-'1')/2 != (w.self[1]-'1')/2 {
+		latency = regionLatency
+	}
+	sent := *req
+	sent.Sender = w.self
+	pause(ctx, latency)
+	resp := w.fleet.routers[to].ServePool(ctx, &sent)
+	pause(ctx, latency)
+	return resp
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// request returns a request that has not been sent yet.
+func (f *fleet) request(timeout time.Duration) *work.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	return &work.Request{
+		ID: fmt.Sprintf("%032x", f.next), Service: "s", Method: http.MethodPost, Path: "/",
+		Deadline: time.Now().Add(timeout),
+	}
+}
+
+func (f *fleet) set(fn func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fn()
+}
+
+// runsIn returns the number of requests that ran in the zones.
+func (f *fleet) runsIn(zones ...string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, b := range f.backends {
+		for _, zone := range zones {
+			if strings.HasPrefix(name, zone+"-") {
+				n += b.runs
+			}
+		}
+	}
+	return n
+}
+
+// runsOf returns how often a request ran.
+func (f *fleet) runsOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[id]
+}
--- /dev/null
+++ b/internal/traffic/router_test.go
@@ -0,0 +1,231 @@
+package traffic_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/replay"
+	"sycamoreledge.example/internal/traffic"
+	"sycamoreledge.example/internal/work"
+)
+
+// inFleet runs a test in virtual time on a started fleet.
+func inFleet(t *testing.T, f func(*testing.T, *gomega.WithT, *fleet), build func() *fleet) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := build()
+		ctx, cancel := context.WithCancel(t.Context())
+		fl.start(ctx)
+		f(t, gomega.NewWithT(t), fl)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// send sends requests to an instance at a steady rate and counts the answers.
+func send(t *testing.T, f *fleet, instance string, count int, interval time.Duration) map[work.Reason]int {
+	answers := make(chan *work.Response, count)
+	for range count {
+		req := f.request(2 * time.Second)
+		go func() { answers <- f.routers[instance].Serve(t.Context(), req) }()
+		<-time.After(interval)
+	}
+	counts := map[work.Reason]int{}
+	for range count {
+		resp := <-answers
+		counts[resp.Reason]++
+	}
+	return counts
+}
+
+func TestOwnZoneComesFirst(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		g.Expect(send(t, f, "i1", 100, 10*time.Millisecond)).To(gomega.Equal(map[work.Reason]int{"": 100}))
+		g.Expect(f.runsIn("z1")).To(gomega.Equal(100))
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+func TestRegionTakesWhatTheZoneCannot(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		// 6 slots of 20 ms serve 300 a second in each zone; 400 arrive in one.
+		g.Expect(send(t, f, "i1", 1200, 2500*time.Microsecond)).To(gomega.Equal(map[work.Reason]int{"": 1200}))
+		g.Expect(f.runsIn("z2")).To(gomega.BeNumerically(">", 250))
+		g.Expect(f.runsIn("z3", "z4")).To(gomega.BeZero())
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+func TestDrainedRegionShiftsWithinTheCap(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.drained = map[string]bool{"z1": true, "z2": true} })
+		counts := send(t, f, "i1", 1000, 5*time.Millisecond)
+		g.Expect(counts[work.ReasonShiftCap]+counts[work.ReasonNoOwner]+counts[""]).To(gomega.Equal(1000), "%v", counts)
+		// Half of 100 a second for 5 s, and one burst.
+		g.Expect(counts[""]).To(gomega.BeNumerically("<=", 255))
+		g.Expect(counts[""]).To(gomega.BeNumerically(">=", 230))
+		g.Expect(f.runsIn("z1", "z2")).To(gomega.BeZero())
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+func TestShiftRampsUp(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.drained = map[string]bool{"z1": true, "z2": true} })
+		send(t, f, "i1", 200, 5*time.Millisecond)
+		first := f.runsIn("z3", "z4")
+		send(t, f, "i1", 1600, 5*time.Millisecond)
+		before := f.runsIn("z3", "z4")
+		send(t, f, "i1", 200, 5*time.Millisecond)
+		g.Expect(first).To(gomega.BeNumerically("<=", 12))
+		g.Expect(f.runsIn("z3", "z4") - before).To(gomega.BeNumerically(">=", 40))
+	}, func() *fleet {
+		f := newFleet(work.Order, 2, 3, 1)
+		f.preset.Services[0].ShiftRamp = 8 * time.Second
+		return f
+	})
+}
+
+func TestReceiverEnforcesTheSendersShare(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		run, refused := 0, 0
+		for range 500 {
+			req := f.request(time.Second)
+			req.Pool = work.PoolID{Service: "s", Zone: "z3"}
+			req.Sender = "i1"
+			req.Origin = "z3" // a sender that lies about its zone
+			resp := f.routers["i3"].ServePool(t.Context(), req)
+			if resp.Outcome == work.Run {
+				run++
+			} else {
+				g.Expect(resp.Reason).To(gomega.Equal(work.ReasonShiftCap))
+				refused++
+				<-time.After(20 * time.Millisecond)
+			}
+		}
+		// 10 s at 20 ms each, at a share of 25 a second, and one burst.
+		g.Expect(run).To(gomega.BeNumerically("~", 253, 5))
+		g.Expect(refused).To(gomega.Equal(500 - run))
+	}, func() *fleet {
+		f := newFleet(work.Order, 2, 3, 1)
+		f.preset.Services[0].ShiftRate = 50
+		return f
+	})
+}
+
+func TestUnreachablePeerIsPassedBy(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.cut["i2"] = true; f.drained = map[string]bool{"z1": true} })
+		resp := f.routers["i1"].Serve(t.Context(), f.request(time.Second))
+		g.Expect(resp.Outcome).To(gomega.Equal(work.Run))
+		g.Expect(resp.Upstream).To(gomega.HavePrefix("z3"))
+		g.Expect(resp.Explain).To(gomega.ContainSubstring("s@z1: drained or without owner"))
+		g.Expect(resp.Explain).To(gomega.ContainSubstring("s@z3 via i3: run by z3"))
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+func TestBodies(t *testing.T) {
+	small := strings.Repeat("x", replay.Limit)
+	cases := []struct {
+		name    string
+		body    io.Reader
+		outcome work.Outcome
+	}{
+		{"whole", strings.NewReader(small), work.Run},
+		{"cut by the caller", io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(errors.New("cut"))), work.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+				req := f.request(time.Second)
+				req.Body, req.Length = c.body, -1
+				resp := f.routers["i1"].Serve(t.Context(), req)
+				g.Expect(resp.Outcome).To(gomega.Equal(c.outcome))
+			}, func() *fleet { return newFleet(work.Upload, 1, 1, 1) })
+		})
+	}
+}
+
+func TestUnknownService(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		req := f.request(time.Second)
+		req.Service = "other"
+		resp := f.routers["i1"].Serve(t.Context(), req)
+		g.Expect(resp.Outcome).To(gomega.Equal(work.NotRun))
+		g.Expect(resp.Reason).To(gomega.Equal(work.ReasonUnknownService))
+	}, func() *fleet { return newFleet(work.Order, 1, 1, 1) })
+}
+
+// At three times what the region serves, no upstream is over its slots, each
+// order runs at most once, and none that was refused has run.
+func TestOverloadKeepsThePromises(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		type answer struct {
+			id   string
+			resp *work.Response
+		}
+		const count = 3000
+		answers := make(chan answer, count)
+		for range count {
+			req := f.request(300 * time.Millisecond)
+			go func() { answers <- answer{req.ID, f.routers["i1"].Serve(t.Context(), req)} }()
+			<-time.After(500 * time.Microsecond)
+		}
+		run := 0
+		for range count {
+			a := <-answers
+			ran := f.runsOf(a.id)
+			switch a.resp.Outcome {
+			case work.Run:
+				run++
+				g.Expect(ran).To(gomega.Equal(1))
+			case work.NotRun:
+				g.Expect(ran).To(gomega.BeZero())
+				g.Expect(a.resp.RetryAfter).To(gomega.BeNumerically(">", 0), string(a.resp.Reason))
+			default:
+				g.Expect(ran).To(gomega.BeNumerically("<=", 1))
+			}
+		}
+		for _, b := range f.backends {
+			g.Expect(b.most).To(gomega.BeNumerically("<=", 3))
+		}
+		g.Expect(run).To(gomega.BeNumerically(">", 700), "0.9 of 540 a second for 1.5 s")
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+// eager is an owner that reads the first bytes of a body and then refuses.
+type eager struct{ bytes int64 }
+
+func (e eager) Serve(_ context.Context, req *work.Request) *work.Response {
+	if _, err := io.CopyN(io.Discard, req.Body, e.bytes); err != nil {
+		return work.Uncertain(work.ReasonUpstreamBroken)
+	}
+	return work.Refuse(work.ReasonUpstreamShed, 0)
+}
+
+func TestRefusalAfterPartOfTheBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		read    int64
+		outcome work.Outcome
+	}{
+		"can be sent again":   {replay.Limit, work.Run},
+		"can't be sent again": {replay.Limit + 1, work.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+				router := traffic.New(traffic.Options{
+					Snapshot: func() *control.Snapshot { return f.snapshot("i1") },
+					Topology: f.topology, Self: "i1", Pools: eager{c.read}, Peers: &wire{fleet: f, self: "i1"},
+				})
+				req := f.request(time.Second)
+				req.Body, req.Length = strings.NewReader(strings.Repeat("x", 2*replay.Limit)), 2*replay.Limit
+				g.Expect(router.Serve(t.Context(), req).Outcome).To(gomega.Equal(c.outcome))
+			}, func() *fleet { return newFleet(work.Upload, 1, 1, 1) })
+		})
+	}
+}
--- /dev/null
+++ b/internal/traffic/service.go
@@ -0,0 +1,91 @@
+package traffic
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/work"
+)
+
+// tier orders pools by how far they are.
+type tier uint8
+
+const (
+	ownZone tier = iota
+	ownRegion
+	otherRegion
+)
+
+// route is a pool as seen from this instance.
+type route struct {
+	pool   work.PoolID
+	region string
+	tier   tier
+	// roundTrip is the declared latency to the pool's region and back; 0 within
+	// the region.
+	roundTrip time.Duration
+	// full is until when the pool is taken to have no free slot, in Unix
+	// nanoseconds: it refused a moment ago.
+	full atomic.Int64
+}
+
+// service is the static order of the pools of a service, nearest first.
+type service struct {
+	kind   work.Kind
+	routes []*route
+
+	mu      sync.Mutex
+	retries float64
+}
+
+func newService(declared *settings.Service, topology *settings.Topology, zone string) *service {
+	s := &service{kind: declared.Kind}
+	own := topology.RegionOf(zone)
+	for _, pool := range declared.Pools {
+		r := &route{
+			pool:   work.PoolID{Service: declared.Name, Zone: pool.Zone},
+			region: topology.RegionOf(pool.Zone),
+		}
+		switch {
+		case pool.Zone == zone:
+			r.tier = ownZone
+		case r.region == own:
+			r.tier = ownRegion
+		default:
+			r.tier = otherRegion
+			if l := topology.Link(own, r.region); l != nil {
+				r.roundTrip = 2 * l.OneWay()
+			}
+		}
+		s.routes = append(s.routes, r)
+	}
+	slices.SortStableFunc(s.routes, func(a, b *route) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.roundTrip, b.roundTrip))
+	})
+	return s
+}
+
+// retryBurst is the largest number of retries in a row.
+const retryBurst = 5
+
+// earn adds the fraction of a retry for one request.
+func (s *service) earn(fraction float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries = min(s.retries+fraction, retryBurst)
+}
+
+// spend takes one retry, if there is one.
+func (s *service) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retries < 1 {
+		return false
+	}
+	s.retries--
+	return true
+}
--- /dev/null
+++ b/internal/traffic/shift.go
@@ -0,0 +1,92 @@
+package traffic
+
+import (
+	"sync"
+	"time"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/limit"
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/work"
+)
+
+// shiftKey names the requests of a service that go to, or come from, one place.
+type shiftKey struct {
+	service string
+	place   string
+}
+
+// shifts keeps this instance within its share of the cap of each shift.
+type shifts struct {
+	declared int // instances of this region
+
+	mu  sync.Mutex
+	all map[shiftKey]*limit.Shift // place is the region sent to
+}
+
+func newShifts(topology *settings.Topology, region string) *shifts {
+	return &shifts{
+		declared: max(topology.InstancesOfRegion(region), 1),
+		all:      make(map[shiftKey]*limit.Shift),
+	}
+}
+
+// allow reports whether one more request of the service may go to the region.
+func (s *shifts) allow(now time.Time, policy *settings.ServicePolicy, region string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := shiftKey{policy.Name, region}
+	shift := s.all[key]
+	if shift == nil {
+		shift = &limit.Shift{}
+		s.all[key] = shift
+	}
+	return shift.Allow(now, policy.ShiftRate/float64(s.declared), policy.ShiftRamp)
+}
+
+// inboundBurst is how much larger than at the sender the burst is at the
+// receiver, so that uneven travel times alone cause no refusal.
+const inboundBurst = 2
+
+// inbound keeps each sender of another region within its share of the cap, in
+// case that it has another preset or is faulty.
+type inbound struct {
+	topology *settings.Topology
+	region   string
+
+	mu  sync.Mutex
+	all map[shiftKey]*limit.Bucket // place is the sending instance
+}
+
+func newInbound(topology *settings.Topology, region string) *inbound {
+	return &inbound{topology: topology, region: region, all: make(map[shiftKey]*limit.Bucket)}
+}
+
+// admit returns the refusal of a request beyond its sender's share, or nil.
+func (in *inbound) admit(snap *control.Snapshot, req *work.Request, from string) *work.Response {
+	if from == in.region {
+		return nil
+	}
+	policy := snap.Preset.Service(req.Pool.Service)
+	if policy == nil {
+		return work.Refuse(work.ReasonUnknownService, 0)
+	}
+	rate := policy.ShiftRate / float64(max(in.topology.InstancesOfRegion(from), 1))
+	if rate <= 0 {
+		return work.Refuse(work.ReasonShiftCap, time.Second)
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	key := shiftKey{req.Pool.Service, req.Sender}
+	b := in.all[key]
+	if b == nil {
+		b = &limit.Bucket{}
+		in.all[key] = b
+	}
+	now := time.Now()
+	burst := inboundBurst * limit.ShiftBurst(rate)
+	if !b.Take(now, 1, rate, burst) {
+		return work.Refuse(work.ReasonShiftCap, b.Wait(now, 1, rate, burst))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/trip.go
@@ -0,0 +1,319 @@
+package traffic
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/peer"
+	"sycamoreledge.example/internal/replay"
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/work"
+)
+
+const (
+	// loadMaxAge is the age at which the known load of a pool says nothing.
+	loadMaxAge = 2 * time.Second
+	// fullPause is how long a pool that refused is not asked for a free slot.
+	fullPause = 5 * time.Millisecond
+	// shiftGain is how many round trips to another region the wait in the own
+	// zone must exceed before a request is shifted instead of queued.
+	shiftGain = 1.5
+	// lookupShare is the part of the time left that one attempt of a lookup at
+	// a peer may take, so that a silent one leaves time for another.
+	lookupShare = 0.5
+	// maxShiftAsks bounds the pools of other regions that are asked.
+	maxShiftAsks = 3
+)
+
+// trip is one request on its way through the candidates.
+type trip struct {
+	router  *Router
+	service *service
+	snap    *control.Snapshot
+	policy  *settings.ServicePolicy
+	req     *work.Request
+	body    *replay.Body
+	explain strings.Builder
+
+	// unknown is the first answer of an attempt that may have run.
+	unknown *work.Response
+	// refusal is the refusal to give when nothing runs the request.
+	refusal *work.Response
+	// wait is the shortest wait that a refusing pool of the region expects.
+	wait time.Duration
+	asks int
+}
+
+// run asks the candidates in turn until one runs the request.
+func (t *trip) run(ctx context.Context) *work.Response {
+	stages := []func(context.Context) *work.Response{t.askRegion, t.askFar, t.queue, t.askFarAtLast}
+	for _, stage := range stages {
+		if resp := stage(ctx); resp != nil {
+			return resp
+		}
+	}
+	if t.unknown != nil {
+		return t.unknown
+	}
+	if t.refusal == nil {
+		return work.Refuse(work.ReasonNoOwner, time.Second)
+	}
+	return t.refusal
+}
+
+// askRegion asks the pools of the region for a free slot, the own zone first.
+func (t *trip) askRegion(ctx context.Context) *work.Response {
+	for _, r := range t.service.routes {
+		if r.tier == otherRegion {
+			break
+		}
+		if r.tier == ownRegion && !t.mayBeFree(r) {
+			t.note(r, "", "no free slot known")
+			continue
+		}
+		if resp := t.ask(ctx, r, false); resp != nil {
+			return resp
+		}
+	}
+	return nil
+}
+
+// askFar shifts the request to another region when the wait in the own one is
+// longer than the way.
+func (t *trip) askFar(ctx context.Context) *work.Response {
+	nearest := t.nearestFar()
+	if nearest == nil || float64(t.wait) <= shiftGain*float64(nearest.roundTrip) {
+		return nil
+	}
+	return t.shift(ctx)
+}
+
+// queue lets the request wait in its own zone.
+func (t *trip) queue(ctx context.Context) *work.Response {
+	for _, r := range t.service.routes {
+		if r.tier != ownZone {
+			break
+		}
+		if resp := t.ask(ctx, r, true); resp != nil {
+			return resp
+		}
+	}
+	return nil
+}
+
+// askFarAtLast shifts a request that the region can't run at all.
+func (t *trip) askFarAtLast(ctx context.Context) *work.Response {
+	if t.asks >= maxShiftAsks {
+		return nil
+	}
+	return t.shift(ctx)
+}
+
+// shift asks pools of other regions for a free slot, within the caps.
+func (t *trip) shift(ctx context.Context) *work.Response {
+	for _, r := range t.service.routes {
+		if r.tier != otherRegion || !t.mayBeFree(r) || !t.reachable(r) {
+			continue
+		}
+		if t.asks >= maxShiftAsks {
+			return nil
+		}
+		now := time.Now()
+		if now.Add(r.roundTrip).After(t.req.Deadline) {
+			continue
+		}
+		if !t.router.shifts.allow(now, t.policy, r.region) {
+			t.note(r, "", string(work.ReasonShiftCap))
+			t.refuse(work.Refuse(work.ReasonShiftCap, time.Second))
+			continue
+		}
+		t.asks++
+		t.router.stats.Shifted.Add(1)
+		if resp := t.ask(ctx, r, false); resp != nil {
+			return resp
+		}
+	}
+	return nil
+}
+
+// nearestFar is the nearest pool of another region, or nil.
+func (t *trip) nearestFar() *route {
+	for _, r := range t.service.routes {
+		if r.tier == otherRegion && t.reachable(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// reachable reports whether the pool has an owner and takes work.
+func (t *trip) reachable(r *route) bool {
+	view := t.snap.Pools[r.pool]
+	return view != nil && len(view.Owners) > 0 && !t.snap.DrainedZones[r.pool.Zone]
+}
+
+// mayBeFree reports whether the pool may have a slot for this zone, by its last
+// known load and refusals.
+func (t *trip) mayBeFree(r *route) bool {
+	now := time.Now()
+	if now.UnixNano() < r.full.Load() {
+		return false
+	}
+	view := t.snap.Pools[r.pool]
+	if view == nil {
+		return false
+	}
+	for _, o := range view.Owners {
+		if now.Sub(o.At) > loadMaxAge {
+			return true
+		}
+		if float64(o.Busy) < float64(o.Slots)*(1-t.snap.Preset.Headroom) || r.tier != otherRegion {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends the request to the owners of the pool in turn. It returns nil when
+// the next candidate may be asked.
+func (t *trip) ask(ctx context.Context, r *route, queue bool) *work.Response {
+	if !t.reachable(r) {
+		t.note(r, "", "drained or without owner")
+		return nil
+	}
+	for _, name := range t.owners(r) {
+		if ctx.Err() != nil {
+			t.refuse(work.Refuse(work.ReasonCanceled, 0))
+			return t.settled()
+		}
+		resp, sent := t.send(ctx, r, name, queue)
+		if !sent {
+			return t.settled()
+		}
+		t.note(r, name, verdict(resp))
+		if done := t.judge(r, resp); done != nil {
+			return done
+		}
+	}
+	return nil
+}
+
+// owners returns the owners of a pool, this instance first, then the one in the
+// pool's own zone.
+func (t *trip) owners(r *route) []string {
+	var first, rest []string
+	for _, o := range t.snap.Pools[r.pool].Owners {
+		if o.Instance == t.router.self || t.router.topology.ZoneOf(o.Instance) == r.pool.Zone {
+			first = append(first, o.Instance)
+		} else {
+			rest = append(rest, o.Instance)
+		}
+	}
+	return append(first, rest...)
+}
+
+// send makes one attempt; it returns false when the body can't be sent again.
+func (t *trip) send(ctx context.Context, r *route, name string, queue bool) (*work.Response, bool) {
+	reader, ok := t.body.Next()
+	if !ok {
+		return nil, false
+	}
+	req := *t.req
+	req.Pool = r.pool
+	req.Queue = queue
+	req.Body = nil
+	if t.req.Body != nil {
+		req.Body = reader
+	}
+	t.router.stats.Asks.Add(1)
+	if name == t.router.self {
+		return t.router.pools.Serve(ctx, &req), true
+	}
+	if req.Kind.Idempotent() {
+		left := time.Until(req.Deadline)
+		req.Deadline = time.Now().Add(time.Duration(float64(left) * lookupShare))
+	}
+	return t.router.peers.Do(ctx, name, peer.RolePool, &req), true
+}
+
+// judge returns the response when it is final, and nil when a further attempt is
+// safe.
+func (t *trip) judge(r *route, resp *work.Response) *work.Response {
+	switch resp.Outcome {
+	case work.Run:
+		return resp
+	case work.NotRun:
+		t.learn(r, resp)
+		t.refuse(resp)
+		if resp.Reason == work.ReasonCanceled || resp.Reason == work.ReasonBadRequest {
+			return t.settled()
+		}
+		return nil
+	}
+	if t.unknown == nil {
+		t.unknown = resp
+	}
+	if !t.req.Kind.Idempotent() || !t.service.spend() {
+		return t.settled()
+	}
+	t.router.stats.Retries.Add(1)
+	return nil
+}
+
+// learn notes what a refusal tells of the pool.
+func (t *trip) learn(r *route, resp *work.Response) {
+	switch resp.Reason {
+	case work.ReasonQueueFull, work.ReasonHeadroom, work.ReasonDeadline:
+	default:
+		return
+	}
+	r.full.Store(time.Now().Add(fullPause).UnixNano())
+	if r.tier != otherRegion && (t.wait == 0 || resp.RetryAfter < t.wait) {
+		t.wait = resp.RetryAfter
+	}
+}
+
+// refuse keeps the refusal that the caller gets if nothing runs the request: the
+// first one of the nearest pool, with the shortest advice.
+func (t *trip) refuse(resp *work.Response) {
+	if t.refusal == nil {
+		t.refusal = resp
+		return
+	}
+	if resp.RetryAfter > 0 && (t.refusal.RetryAfter == 0 || resp.RetryAfter < t.refusal.RetryAfter) {
+		t.refusal.RetryAfter = resp.RetryAfter
+	}
+}
+
+// settled returns what the attempts so far amount to.
+func (t *trip) settled() *work.Response {
+	if t.unknown != nil {
+		return t.unknown
+	}
+	if t.refusal != nil {
+		return t.refusal
+	}
+	return work.Refuse(work.ReasonBadRequest, 0)
+}
+
+// note adds a step to the explanation.
+func (t *trip) note(r *route, owner, what string) {
+	if t.explain.Len() > 0 {
+		t.explain.WriteString("; ")
+	}
+	fmt.Fprintf(&t.explain, "%s", r.pool)
+	if owner != "" {
+		fmt.Fprintf(&t.explain, " via %s", owner)
+	}
+	fmt.Fprintf(&t.explain, ": %s", what)
+}
+
+func verdict(resp *work.Response) string {
+	if resp.Outcome == work.Run {
+		return "run by " + resp.Upstream
+	}
+	return resp.Outcome.String() + " (" + string(resp.Reason) + ")"
+}
