Require a fresh answer of every peer after a pause

Cause: heartbeats that waited in the socket while the process was paused look new when it runs again, so that it could take a pool its peer owned by then. Change: catching up needs the echo of a heartbeat sent after the pause.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -72,8 +72,12 @@
 	down     bool
 	paused   bool
 	inFlight map[work.PoolID][]time.Time // ends
+	buffer   []Message                   // arrived while paused
 }
 
+// bufferedMessages is what a paused process still finds in its socket.
+const bufferedMessages = 8
+
 // fleet runs cores against a manual clock and a network with cuts.
 type fleet struct {
 	t        testing.TB
@@ -171,6 +175,7 @@
 		f.dispatch(n) // With the snapshot of before the tick: the worst case.
 		n.core.SetLoad(n.loadOf())
 		n.core.Tick(f.now)
+		f.unbuffer(n)
 		f.deliver(n)
 		f.dispatch(n)
 	}
@@ -193,13 +198,25 @@
 	for _, out := range r.Messages {
 		f.sent++
 		to := f.nodes[out.To]
-		if to.down || to.paused || f.cut(from, out.To) || f.rng.Float64() < f.loss {
-			continue
+		switch {
+		case to.down || f.cut(from, out.To) || f.rng.Float64() < f.loss:
+		case to.paused && len(to.buffer) < bufferedMessages:
+			to.buffer = append(to.buffer, out.Msg)
+		case to.paused:
+		default:
+			to.core.Step(f.now, out.Msg)
 		}
-		to.core.Step(f.now, out.Msg)
 	}
 }
 
+// unbuffer delivers what arrived during a pause.
+func (f *fleet) unbuffer(n *node) {
+	for _, msg := range n.buffer {
+		n.core.Step(f.now, msg)
+	}
+	n.buffer = nil
+}
+
 func (f *fleet) expire(inFlight map[work.PoolID][]time.Time) {
 	for id, ends := range inFlight {
 		kept := ends[:0]
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -20,8 +20,6 @@
 	heard   bool // in this incarnation
 	failed  bool
 
-	// beatAt is when its newest heartbeat arrived, which says what it owns.
-	beatAt time.Time
 	// sentAt is the newest SentAt of its heartbeats, echoed to it.
 	sentAt int64
 	// ackedAt is the local time of our newest heartbeat that it echoed.
@@ -175,7 +173,6 @@
 		return // Datagrams may arrive out of order.
 	}
 	m.sentAt = h.SentAt
-	m.beatAt = c.now
 	if m.state != h.State {
 		m.state = h.State
 		c.emit(Event{Kind: EventMemberState, Instance: c.ix.instances[from].Name, State: h.State})
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -87,7 +87,7 @@
 }
 
 // finishCatchUp ends Joining and CatchingUp once every peer in the zone has
-// either sent a heartbeat since or been silent for a lease.
+// either answered a heartbeat since or been silent for a lease.
 func (c *Core) finishCatchUp() {
 	if c.state != Joining && c.state != CatchingUp {
 		return
@@ -96,8 +96,9 @@
 		if m == c.self || c.members[m].failed {
 			continue
 		}
-		// Only a heartbeat tells which pools the peer owns by now.
-		if !c.members[m].beatAt.After(c.resumed) {
+		// Only an answer to a heartbeat of ours tells what the peer owns by now;
+		// others may have waited in a buffer while this process was paused.
+		if c.members[m].ackedAt.Before(c.resumed) {
 			return
 		}
 	}
