--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -217,3 +217,32 @@
 	f.steps(time.Second)
 	g.Expect(core.members[core.ix.byName["r0z1-0"]].state).To(gomega.Equal(Serving))
 }
+
+// TestBufferedHeartbeatDoesNotEndCatchUp delivers, after a pause, a heartbeat
+// that was sent before it.
+func TestBufferedHeartbeatDoesNotEndCatchUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 1, 1)
+	f.steps(3 * time.Second)
+	paused, mate := f.nodes["r0z0-0"], f.nodes["r0z0-1"]
+	paused.paused = true
+	f.steps(6 * time.Second)
+	now := f.now.Add(testTick)
+	paused.core.Tick(now)
+	g.Expect(paused.core.State()).To(gomega.Equal(CatchingUp))
+	paused.core.Step(now.Add(testTick), Message{
+		From:        "r0z0-1",
+		Incarnation: mate.core.identity.Incarnation,
+		Heartbeat: &Heartbeat{
+			SentAt: int64(3 * time.Second),
+			Echo:   int64(2900 * time.Millisecond),
+			EchoOf: paused.core.identity.Incarnation,
+			State:  Serving,
+		},
+	})
+	for range 5 {
+		now = now.Add(testTick)
+		paused.core.Tick(now)
+	}
+	g.Expect(paused.core.State()).To(gomega.Equal(CatchingUp))
+}
