--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -45,12 +45,7 @@
 	if c := p.policy.Load(); c != nil && c.preset == preset {
 		return c.policy
 	}
-	c := &cachedPolicy{preset: preset}
-	for i := range preset.Services {
-		if preset.Services[i].Name == p.id.Service {
-			c.policy = &preset.Services[i]
-		}
-	}
+	c := &cachedPolicy{preset: preset, policy: preset.Service(p.id.Service)}
 	p.policy.Store(c)
 	return c.policy
 }
