Let operators remove a preset

A configuration that has reached the size of a value could only be mended by smaller presets. Remove deletes one that is not in force; a choice of it that races with the removal is refused.

--- a/internal/presets/change.go
+++ b/internal/presets/change.go
@@ -12,6 +12,7 @@
 // Actions in audit records.
 const (
 	ActionApply   = "apply"
+	ActionRemove  = "remove"
 	ActionUse     = "use"
 	ActionDrain   = "drain"
 	ActionUndrain = "undrain"
@@ -45,7 +46,7 @@
 	sum := sha256.Sum256(value)
 	return change{
 		action: ActionApply,
-		target: "preset " + preset.Name,
+		target: presetTarget(preset.Name),
 		detail: fmt.Sprintf("%s sha256:%x", preset.Name, sum[:digestBytes]),
 		edit: func(cfg *settings.Config) error {
 			drains := cfg.Drains
@@ -61,6 +62,26 @@
 	}, nil
 }
 
+func presetTarget(name string) string { return "preset " + name }
+
+func removeChange(name string) change {
+	return change{
+		action: ActionRemove,
+		target: presetTarget(name),
+		detail: name,
+		edit: func(cfg *settings.Config) error {
+			if _, ok := cfg.Presets[name]; !ok {
+				return Refused.New("there is no preset %s", name)
+			}
+			if name == cfg.InForce {
+				return Refused.New("preset %s is in force", name)
+			}
+			delete(cfg.Presets, name)
+			return nil
+		},
+	}
+}
+
 func useChange(topo *settings.Topology, name string) change {
 	return change{
 		action: ActionUse,
--- a/internal/presets/store.go
+++ b/internal/presets/store.go
@@ -118,6 +118,11 @@
 	return s.update(ctx, req, c)
 }
 
+// Remove deletes a preset that is not in force.
+func (s *Store) Remove(ctx context.Context, req Request, name string) (Result, error) {
+	return s.update(ctx, req, removeChange(name))
+}
+
 // Use puts a preset in force.
 func (s *Store) Use(ctx context.Context, req Request, name string) (Result, error) {
 	return s.update(ctx, req, useChange(s.topo, name))
