--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -82,6 +82,14 @@
 	return bytes.NewReader(b.prefix.Bytes()), true
 }
 
+// Buffered returns the bytes that were read so far. They must not be changed,
+// and no attempt may run while they are used.
+func (b *Body) Buffered() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.prefix.Bytes()
+}
+
 // Fill reads the source into the buffer until it ends or the buffer is full.
 // It returns the source's error other than io.EOF.
 func (b *Body) Fill() error {
