Try a hedge again when no slot was free at its time

A straggler's hedge was tried once, and a pool that has waiters has no free slot at that moment, so that stragglers kept their slots for 400 ms exactly when slots were short.

Change: the hedge is tried again every quarter of its delay.

--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -42,6 +42,7 @@
 	preset   *settings.Preset
 	kind     work.Kind
 	service  func(*rand.Rand) time.Duration
+	draw     func(id string, again int) time.Duration // instead of service, when set
 	routers  map[string]*traffic.Router
 	owners   map[string]*owner.Owner
 
@@ -56,6 +57,11 @@
 }
 
 func newFleet(kind work.Kind, upstreams, slots int, seed uint64) *fleet {
+	return newFleetOf(kind, []int{upstreams, upstreams, upstreams, upstreams}, slots, seed)
+}
+
+// newFleetOf returns a fleet with a zone for each number of upstreams.
+func newFleetOf(kind work.Kind, upstreams []int, slots int, seed uint64) *fleet {
 	f := &fleet{
 		kind:     kind,
 		service:  func(*rand.Rand) time.Duration { return 20 * time.Millisecond },
@@ -70,9 +76,13 @@
 	}
 	f.topology = &settings.Topology{
 		Services: []settings.Service{{Name: "s", Kind: kind}},
-		Links:    []settings.Link{{Between: []string{"r1", "r2"}, Rate: 280, Latency: 35}},
+		Links: []settings.Link{
+			{Between: []string{"r1", "r2"}, Rate: 280, Latency: 35},
+			{Between: []string{"r1", "r3"}, Rate: 280, Latency: 35},
+			{Between: []string{"r2", "r3"}, Rate: 280, Latency: 35},
+		},
 	}
-	for z := 1; z <= 4; z++ {
+	for z := 1; z <= len(upstreams); z++ {
 		zone := settings.Zone{Name: fmt.Sprintf("z%d", z), Instances: []settings.Instance{{Name: fmt.Sprintf("i%d", z)}}}
 		if z%2 == 1 {
 			f.topology.Regions = append(f.topology.Regions, settings.Region{Name: fmt.Sprintf("r%d", (z+1)/2)})
@@ -80,7 +90,7 @@
 		region := &f.topology.Regions[(z-1)/2]
 		region.Zones = append(region.Zones, zone)
 		pool := settings.Pool{Zone: zone.Name}
-		for u := range upstreams {
+		for u := range upstreams[z-1] {
 			name := fmt.Sprintf("%s-u%d", zone.Name, u)
 			pool.Upstreams = append(pool.Upstreams, settings.Upstream{Name: name, Slots: slots})
 			f.backends[name] = &backend{slow: 1}
@@ -175,7 +185,11 @@
 	b.runs++
 	b.most = max(b.most, b.running)
 	f.ran[req.ID]++
-	duration := time.Duration(float64(f.service(f.random)) * b.slow)
+	duration := f.service(f.random)
+	if f.draw != nil {
+		duration = f.draw(req.ID, f.ran[req.ID]-1)
+	}
+	duration = time.Duration(float64(duration) * b.slow)
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
--- a/internal/traffic/owner/hedge.go
+++ b/internal/traffic/owner/hedge.go
@@ -9,8 +9,13 @@
 	"sycamoreledge.example/internal/work"
 )
 
-// minHedgeDelay keeps hedges off work that is over before they start.
-const minHedgeDelay = time.Millisecond
+const (
+	// minHedgeDelay keeps hedges off work that is over before they start.
+	minHedgeDelay = time.Millisecond
+	// hedgeRetries is how often within the delay a hedge that found no free
+	// slot is tried again.
+	hedgeRetries = 4
+)
 
 // runHedged sends an idempotent request in the slot, and again to another
 // upstream when it takes longer than the quantile of the preset. The first
@@ -22,7 +27,8 @@
 	}
 	results := make(chan *work.Response, 2)
 	go func() { results <- first.do(req, reader) }()
-	timer := time.NewTimer(p.hedgeDelay())
+	delay := p.hedgeDelay()
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var second *attempt
 	var last *work.Response
@@ -38,6 +44,7 @@
 			last = worse(last, resp)
 		case <-timer.C:
 			if second = p.startHedge(ctx, s, req); second == nil {
+				timer.Reset(delay / hedgeRetries)
 				continue
 			}
 			again, _ := body.Shared()
