Serve callers over HTTP

Requests of services go to a Router as they were sent: any method, the path uncleaned, bodies streamed, hop-by-hop fields and those of the product removed. Every answer tells its outcome.

An early answer to a long upload closes the connection instead of waiting for the rest; short bodies are taken in, so that refusals under overload do not cost a connection each. A caller that leaves cancels its request, also after its body was read. Panics break one request. Header time, idle time, write time, header size, connections and concurrent requests are bounded. An answer of /v1/entries that carries a key is kept out of caches: two orders with one key would be taken for a repeat.

--- /dev/null
+++ b/internal/api/callers_test.go
@@ -0,0 +1,417 @@
+package api_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/api"
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/event"
+	"sycamoreledge.example/internal/work"
+)
+
+// capture returns a router that hands every request to the channel.
+func capture(requests chan<- *work.Request) routerFunc {
+	return func(_ context.Context, req *work.Request) *work.Response {
+		requests <- req
+		return ranText("ok")
+	}
+}
+
+func TestRequestsReachTheRouterAsSent(t *testing.T) {
+	id := strings.Repeat("0123456789abcdef", 2)
+	cases := []struct {
+		name, target    string
+		header          []string
+		method, service string
+		check           func(g *gomega.WithT, req *work.Request)
+	}{
+		{"plain", "/v1/services/status/a/b?q=1&q=2", nil, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Path).To(gomega.Equal("/a/b?q=1&q=2"))
+			g.Expect(req.Kind).To(gomega.Equal(work.Lookup))
+			g.Expect(req.Origin).To(gomega.Equal("east-a"))
+			g.Expect(req.Body).To(gomega.BeNil())
+		}},
+		{"path is not cleaned", "/v1/services/status//a/../%2Fb%20c/", nil, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Path).To(gomega.Equal("//a/../%2Fb%20c/"))
+		}},
+		{"no path", "/v1/services/status", nil, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Path).To(gomega.Equal("/"))
+		}},
+		{"any method", "/v1/services/orders/x", nil, "PROPFIND", "orders", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Kind).To(gomega.Equal(work.Order))
+		}},
+		{"header", "/v1/services/status/x", []string{"Cookie: a=1", "Cookie: b=2", "X-Own: 1", "X-Own: 2", "Connection: X-Hop", "X-Hop: s", "TE: trailers", "Work-Kind: order", "Deadline-Unix-Ms: 1"}, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Header).To(gomega.Equal(http.Header{"Cookie": {"a=1", "b=2"}, "X-Own": {"1", "2"}}))
+		}},
+		{"key and id", "/v1/services/orders/x", []string{"Idempotency-Key: k-1", "Request-Id: " + id + ""}, "PUT", "orders", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.Key).To(gomega.Equal("k-1"))
+			g.Expect(req.ID).To(gomega.Equal(id))
+		}},
+		{"malformed id is replaced", "/v1/services/orders/x", []string{"Request-Id: ../../etc"}, "PUT", "orders", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(req.ID).To(gomega.MatchRegexp("^[0-9a-f]{32}$"))
+		}},
+		{"deadline of the caller", "/v1/services/status/x", []string{"Deadline-Ms: 300"}, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(time.Until(req.Deadline)).To(gomega.BeNumerically("<=", 300*time.Millisecond))
+		}},
+		{"deadline of the preset bounds it", "/v1/services/status/x", []string{"Deadline-Ms: 9223372036854775807"}, "GET", "status", func(g *gomega.WithT, req *work.Request) {
+			g.Expect(time.Until(req.Deadline)).To(gomega.BeNumerically("~", 2*time.Second, time.Second))
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := expect(t)
+			requests := make(chan *work.Request, 1)
+			_, address := start(t, capture(requests), nil)
+			got := exchange(t, address, tc.method+" "+tc.target+" HTTP/1.1", tc.header...)
+			g.Expect(got.status).To(gomega.Equal(http.StatusOK), "%v %s", got.err, got.body)
+			req := <-requests
+			g.Expect(req.Method).To(gomega.Equal(tc.method))
+			g.Expect(req.Service).To(gomega.Equal(tc.service))
+			tc.check(g, req)
+		})
+	}
+}
+
+func TestMalformedRequestsAreRefusedAndNotRun(t *testing.T) {
+	cases := []struct {
+		name, target string
+		header       []string
+		status       int
+	}{
+		{"unknown service", "/v1/services/none/x", nil, 404},
+		{"no service", "/v1/services//x", nil, 400},
+		{"deadline not a number", "/v1/services/status/x", []string{"Deadline-Ms: soon"}, 400},
+		{"deadline not positive", "/v1/services/status/x", []string{"Deadline-Ms: 0"}, 400},
+		{"key too long", "/v1/services/orders/x", []string{"Idempotency-Key: " + strings.Repeat("k", 257)}, 400},
+		{"two keys", "/v1/services/orders/x", []string{"Idempotency-Key: a", "Idempotency-Key: b"}, 400},
+		{"key with a space", "/v1/services/orders/x", []string{"Idempotency-Key: a b"}, 400},
+		{"two lengths", "/v1/services/orders/x", []string{"Content-Length: 1", "Content-Length: 2"}, 400},
+		{"header too large", "/v1/services/orders/x", []string{"X-Large: " + strings.Repeat("x", 64<<10)}, 431},
+		{"nothing there", "/v2/", nil, 404},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := expect(t)
+			requests := make(chan *work.Request, 1)
+			_, address := start(t, capture(requests), nil)
+			got := exchange(t, address, "POST "+tc.target+" HTTP/1.1", tc.header...)
+			g.Expect(got.status).To(gomega.Equal(tc.status), "%v", got.err)
+			g.Expect(requests).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestBodiesStreamWhileTheyArrive(t *testing.T) {
+	g := expect(t)
+	first, rest := make(chan string, 1), make(chan string, 1)
+	_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
+		buf := make([]byte, 5)
+		io.ReadFull(req.Body, buf) //nolint:errcheck // checked by its content
+		first <- string(buf)
+		all, _ := io.ReadAll(req.Body)
+		rest <- string(all)
+		return ranText("ok")
+	}, nil)
+	c := dial(t, address)
+	c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n\r\nfirst")
+	g.Expect(<-first).To(gomega.Equal("first"))
+	c.send(t, "rest")
+	g.Expect(<-rest).To(gomega.Equal("rest"))
+	g.Expect(c.receive("POST").status).To(gomega.Equal(200))
+}
+
+func TestCutUploadIsSeenAsCut(t *testing.T) {
+	heads := map[string]string{
+		"known length": "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 50000),
+		"chunked":      "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+	}
+	for name, text := range heads {
+		t.Run(name, func(t *testing.T) {
+			g := expect(t)
+			errs := make(chan error, 1)
+			_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
+				_, err := io.Copy(io.Discard, req.Body)
+				errs <- err
+				return work.Refuse(work.ReasonCanceled, 0)
+			}, nil)
+			c := dial(t, address)
+			c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\n"+text)
+			g.Expect(c.Close()).To(gomega.Succeed())
+			g.Expect(<-errs).To(gomega.HaveOccurred())
+		})
+	}
+}
+
+func TestStalledUploadEndsWithItsDeadline(t *testing.T) {
+	g := expect(t)
+	errs := make(chan error, 1)
+	_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
+		_, err := io.Copy(io.Discard, req.Body)
+		errs <- err
+		return work.Refuse(work.ReasonDeadline, 0)
+	}, nil)
+	c := dial(t, address)
+	c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\nDeadline-Ms: 100\r\nContent-Length: 1000\r\n\r\nx")
+	var timeout net.Error
+	err := <-errs
+	g.Expect(errors.As(err, &timeout) && timeout.Timeout()).To(gomega.BeTrue(), "%v", err)
+}
+
+func TestEarlyAnswerToALongUploadReleasesTheConnection(t *testing.T) {
+	heads := map[string]string{
+		"known length":  "Content-Length: 1000000000\r\n\r\n" + strings.Repeat("x", 200000),
+		"length of 100": "Content-Length: 100\r\n\r\nx",
+		"length of 99k": "Content-Length: 99000\r\n\r\nx",
+		"chunked":       "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+		"continue":      "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n",
+	}
+	for name, text := range heads {
+		t.Run(name, func(t *testing.T) {
+			g := expect(t)
+			_, address := start(t, func(context.Context, *work.Request) *work.Response {
+				return work.Refuse(work.ReasonQueueFull, 0)
+			}, nil)
+			c := dial(t, address)
+			c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\n"+text)
+			got := c.receive("POST")
+			g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.status).To(gomega.Equal(429))
+			g.Expect(got.close).To(gomega.BeTrue())
+			g.Expect(c.closed()).To(gomega.BeTrue())
+		})
+	}
+}
+
+func TestRefusalOfASmallBodyKeepsTheConnection(t *testing.T) {
+	g := expect(t)
+	_, address := start(t, func(context.Context, *work.Request) *work.Response {
+		return work.Refuse(work.ReasonQueueFull, 0)
+	}, nil)
+	c := dial(t, address)
+	for range 3 {
+		c.send(t, "POST /v1/services/orders/x HTTP/1.1\r\nHost: t\r\nContent-Length: 5\r\n\r\nhello")
+		got := c.receive("POST")
+		g.Expect(got.err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.status).To(gomega.Equal(429))
+	}
+}
+
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	heads := map[string]string{
+		"without body": "\r\n",
+		"after a body": "Content-Length: 5\r\n\r\nhello",
+	}
+	for name, text := range heads {
+		t.Run(name, func(t *testing.T) {
+			g := expect(t)
+			arrived, ended := make(chan bool, 1), make(chan error, 1)
+			_, address := start(t, func(ctx context.Context, req *work.Request) *work.Response {
+				if req.Body != nil {
+					io.Copy(io.Discard, req.Body) //nolint:errcheck // whole in this test
+				}
+				arrived <- true
+				<-ctx.Done()
+				ended <- ctx.Err()
+				return work.Uncertain(work.ReasonCanceled)
+			}, nil)
+			c := dial(t, address)
+			c.send(t, "POST /v1/services/status/x HTTP/1.1\r\nHost: t\r\n"+text)
+			<-arrived
+			g.Expect(c.Close()).To(gomega.Succeed())
+			g.Expect(<-ended).To(gomega.MatchError(context.Canceled), "and not the deadline")
+		})
+	}
+}
+
+func TestPanicBreaksOneRequestOnly(t *testing.T) {
+	g := expect(t)
+	events := event.Discard()
+	_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
+		if req.Path == "/panic" {
+			panic("a defect")
+		}
+		return ranText("ok")
+	}, func(o *api.CallersOptions) { o.Events = events })
+	got := exchange(t, address, "GET /v1/services/status/panic HTTP/1.1")
+	g.Expect(got.err).To(gomega.HaveOccurred(), "no answer looks like one")
+	g.Expect(events.Count(event.HandlerPanic)).To(gomega.BeEquivalentTo(1))
+	g.Expect(exchange(t, address, "GET /v1/services/status/x HTTP/1.1").status).To(gomega.Equal(200))
+}
+
+func TestSlowHeaderEndsTheConnection(t *testing.T) {
+	g := expect(t)
+	_, address := start(t, nil, nil)
+	c := dial(t, address)
+	c.send(t, "GET /v1/services/status/x HTTP/1.1\r\nHost")
+	got := c.receive("GET")
+	g.Expect(got.err != nil || got.status >= 400).To(gomega.BeTrue(), "status %d", got.status)
+	g.Expect(c.closed()).To(gomega.BeTrue())
+}
+
+func TestRequestsOverTheLimitAreRefused(t *testing.T) {
+	g := expect(t)
+	events := event.Discard()
+	arrived, release := make(chan bool, 1), make(chan bool)
+	s, address := start(t, func(context.Context, *work.Request) *work.Response {
+		arrived <- true
+		<-release
+		return ranText("ok")
+	}, func(o *api.CallersOptions) { o.MaxRequests = 1; o.Events = events })
+	running := dial(t, address)
+	running.send(t, "GET /v1/services/status/x HTTP/1.1\r\nHost: t\r\n\r\n")
+	<-arrived
+	g.Expect(s.Active()).To(gomega.Equal(1))
+	got := exchange(t, address, "GET /v1/services/status/x HTTP/1.1")
+	g.Expect(got.status).To(gomega.Equal(429))
+	g.Expect(got.header.Get("Outcome")).To(gomega.Equal("not-run"))
+	g.Expect(events.Count(event.CallersOverLimit)).To(gomega.BeEquivalentTo(1))
+	close(release)
+	g.Expect(running.receive("GET").status).To(gomega.Equal(200))
+	g.Eventually(s.Active, socketLimit).Should(gomega.BeZero())
+}
+
+func TestPlannedStopFinishesWhatIsInFlight(t *testing.T) {
+	g := expect(t)
+	arrived, release := make(chan bool, 1), make(chan bool)
+	s, address := start(t, func(context.Context, *work.Request) *work.Response {
+		arrived <- true
+		<-release
+		return ranText("ok")
+	}, nil)
+	idle, running := dial(t, address), dial(t, address)
+	running.send(t, "GET /v1/services/status/x HTTP/1.1\r\nHost: t\r\n\r\n")
+	<-arrived
+	cut := make(chan int, 1)
+	go func() { cut <- s.Stop(context.Background()) }()
+	g.Eventually(func() error {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			return conn.Close()
+		}
+		return err
+	}, socketLimit).Should(gomega.HaveOccurred(), "new connections are refused")
+	g.Expect(cut).NotTo(gomega.Receive())
+	close(release)
+	got := running.receive("GET")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(got.body)).To(gomega.Equal("ok"))
+	g.Eventually(cut, 2*socketLimit).Should(gomega.Receive(gomega.BeZero()))
+	g.Expect(idle.closed()).To(gomega.BeTrue())
+}
+
+func TestForcedStopTellsHowManyWereCut(t *testing.T) {
+	g := expect(t)
+	arrived := make(chan bool, 1)
+	s, address := start(t, func(ctx context.Context, _ *work.Request) *work.Response {
+		arrived <- true
+		<-ctx.Done()
+		return work.Uncertain(work.ReasonCanceled)
+	}, nil)
+	c := dial(t, address)
+	c.send(t, "GET /v1/services/status/x HTTP/1.1\r\nHost: t\r\n\r\n")
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	g.Expect(s.Stop(ctx)).To(gomega.Equal(1))
+}
+
+func TestLeavingInstanceLetsCallersReconnect(t *testing.T) {
+	g := expect(t)
+	_, address := start(t, func(context.Context, *work.Request) *work.Response { return ranText("ok") },
+		func(o *api.CallersOptions) { o.Snapshot = snapshotOf(control.Leaving) })
+	got := exchange(t, address, "GET /v1/services/status/x HTTP/1.1")
+	g.Expect(got.status).To(gomega.Equal(200))
+	g.Expect(got.close).To(gomega.BeTrue())
+}
+
+func TestNoSnapshotMeansNotReady(t *testing.T) {
+	g := expect(t)
+	_, address := start(t, nil, func(o *api.CallersOptions) {
+		o.Snapshot = func() *control.Snapshot { return nil }
+		o.Ready = func() error { return errors.New("no snapshot") }
+	})
+	got := exchange(t, address, "GET /v1/services/status/x HTTP/1.1")
+	g.Expect(got.header.Get("Outcome-Reason")).To(gomega.Equal("not_ready"))
+	got = exchange(t, address, "GET /readyz HTTP/1.1")
+	g.Expect(got.status).To(gomega.Equal(503))
+	g.Expect(string(got.body)).To(gomega.ContainSubstring("no snapshot"))
+}
+
+func TestEntriesAndKeys(t *testing.T) {
+	cases := []struct {
+		name, request string
+		keyFault      error
+		status        int
+		cache, body   string
+	}{
+		{"entries", "GET /v1/entries?service=status", nil, 200, "max-age=5", `{"service":"status","max_age_ms":5000,"entries":[{"name":"e1","zone":"east-a","region":"east","address":"127.0.0.1:1"}]}`},
+		{"entries with a key", "GET /v1/entries?service=orders&issue_key=true", nil, 200, "no-store", `"key":"key-of-orders"`},
+		{"no key for a lookup", "GET /v1/entries?service=status&issue_key=true", nil, 200, "max-age=5", `"entries":[`},
+		{"no service", "GET /v1/entries", nil, 400, "", "service=NAME"},
+		{"unknown service", "GET /v1/entries?service=none", nil, 404, "", `unknown_service`},
+		{"bad client", "GET /v1/entries?service=status&client=x", nil, 400, "", "not an IP address"},
+		{"key", "POST /v1/keys?service=orders", nil, 201, "no-store", `{"key":"key-of-orders","expires":"1970-01-01T00:16:40Z"}`},
+		{"no key now", "POST /v1/keys?service=orders", errors.New("catching up"), 503, "", "catching up"},
+		{"key by GET", "GET /v1/keys?service=orders", nil, 405, "", ""},
+		{"healthy", "GET /healthz", nil, 200, "", "ok"},
+		{"ready", "GET /readyz", nil, 200, "", "ready"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := expect(t)
+			_, address := start(t, nil, func(o *api.CallersOptions) { o.Keys = fakeKeys{err: tc.keyFault} })
+			got := exchange(t, address, tc.request+" HTTP/1.1")
+			g.Expect(got.status).To(gomega.Equal(tc.status))
+			g.Expect(got.header.Get("Cache-Control")).To(gomega.Equal(tc.cache))
+			g.Expect(string(got.body)).To(gomega.ContainSubstring(tc.body))
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := api.NewCallers(ln, api.CallersOptions{
+		Router:   routerFunc(func(context.Context, *work.Request) *work.Response { return ranText("ok") }),
+		Snapshot: snapshotOf(control.Serving),
+		Services: map[string]work.Kind{"status": work.Lookup},
+		Events:   event.Discard(),
+	})
+	s.Start()
+	defer s.Stop(context.Background())
+	benchmarkGet(b, fmt.Sprintf("http://%s/v1/services/status/x", ln.Addr()))
+}
+
+// BenchmarkPlainServer is what BenchmarkLookup is compared with.
+func BenchmarkPlainServer(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "ok") //nolint:errcheck // the client sees it
+	}))
+	defer server.Close()
+	benchmarkGet(b, server.URL)
+}
+
+func benchmarkGet(b *testing.B, url string) {
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.Get(url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body) //nolint:errcheck // whole in this benchmark
+		resp.Body.Close()
+	}
+}
