--- a/internal/lab/promises/env.go
+++ b/internal/lab/promises/env.go
@@ -50,10 +50,14 @@
 	return err
 }
 
+// historyLimit is how many audit records are looked at: more than the changes
+// of any case.
+const historyLimit = 200
+
 // checkAudit finds changes of the case without their audit record, records
 // without a change, and gaps in the record.
 func (e *env) checkAudit(ctx context.Context) error {
-	history, err := e.operator.History(ctx)
+	history, err := e.operator.History(ctx, historyLimit)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/promises/special.go
+++ b/internal/lab/promises/special.go
@@ -197,7 +197,11 @@
 		return
 	}
 	conflict, ok := refusal.Conflict()
-	if !ok || conflict.Winner == nil || conflict.Winner.Operation != winner {
+	named := false
+	for _, won := range conflict.Won {
+		named = named || won.Operation == winner
+	}
+	if !ok || !named {
 		e.broken(Config, "the refusal %v does not name the winner %s: %+v", err, winner, conflict)
 	}
 }
