--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -53,7 +53,7 @@
 	spread   spread
 	lastSent int64
 	load     map[int]PoolStatus
-	leaving  map[string]bool // upstreams, by the platform's list
+	leaving  leavingLists
 	succeed  successors
 	messages []Outbound
 	events   []Event
@@ -91,7 +91,7 @@
 		resumed:  p.Start,
 		state:    Joining,
 		load:     map[int]PoolStatus{},
-		leaving:  map[string]bool{},
+		leaving:  leavingLists{},
 		members:  newMembers(ix, p.Start),
 	}
 	c.machine = newInstanceMachine(&c.state)
@@ -117,15 +117,6 @@
 	}
 }
 
-// SetLeavingUpstreams passes in the upstreams that the platform lists as
-// leaving. The list lags; it only keeps new work away.
-func (c *Core) SetLeavingUpstreams(names []string) {
-	clear(c.leaving)
-	for _, name := range names {
-		c.leaving[name] = true
-	}
-}
-
 // Tick runs all systems once at the time now.
 func (c *Core) Tick(now time.Time) {
 	last := c.now
@@ -138,6 +129,7 @@
 	c.sendReleases()
 	c.sendHeartbeats()
 	c.sendDigests()
+	c.leaving.expire(c.now)
 	c.expireSuccessors()
 	c.stale = true
 }
@@ -177,6 +169,8 @@
 		c.onConfig(from, msg.Config)
 	case msg.Release != nil:
 		c.onRelease(from, msg.Release)
+	case msg.Leaving != nil:
+		c.onLeaving(from, msg.Leaving)
 	}
 }
 
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -246,3 +246,14 @@
 	}
 	g.Expect(paused.core.State()).To(gomega.Equal(CatchingUp))
 }
+
+func TestLeavingUpstreamsReachTheZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 2, 1)
+	f.steps(2 * time.Second)
+	f.nodes["r0z0-0"].core.SetLeavingUpstreams([]string{"r0z0-a", "r1z0-a", "not-declared"})
+	f.steps(200 * time.Millisecond)
+	g.Expect(f.nodes["r0z0-1"].snapshot.LeavingUpstreams).To(gomega.Equal(map[string]bool{"r0z0-a": true}))
+	f.steps(2 * leavingLifetime)
+	g.Expect(f.nodes["r0z0-1"].snapshot.LeavingUpstreams).To(gomega.BeEmpty())
+}
--- a/internal/control/index.go
+++ b/internal/control/index.go
@@ -15,6 +15,8 @@
 	pools     []poolRow
 	byName    map[string]int // instance name to index
 	byPool    map[work.PoolID]int
+	// upstreamZone maps the name of an upstream to its zone.
+	upstreamZone map[string]int
 }
 
 // zoneRow is a declared availability zone.
@@ -42,7 +44,7 @@
 
 // newIndex numbers the entities of a validated topology.
 func newIndex(top *settings.Topology) *index {
-	ix := &index{byName: map[string]int{}, byPool: map[work.PoolID]int{}}
+	ix := &index{byName: map[string]int{}, byPool: map[work.PoolID]int{}, upstreamZone: map[string]int{}}
 	zoneByName := map[string]int{}
 	for _, region := range top.Regions {
 		first := len(ix.zones)
@@ -91,6 +93,7 @@
 	row := poolRow{id: id, zone: zone}
 	for _, up := range upstreams {
 		row.slots = append(row.slots, up.Slots)
+		ix.upstreamZone[up.Name] = zone
 	}
 	ix.pools = append(ix.pools, row)
 	ix.byPool[id] = n
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -10,12 +10,20 @@
 type Message struct {
 	// From and Incarnation are set by the sender's core; the transport checks
 	// From against the authenticated peer.
-	From        string     `cbor:"1,keyasint"`
-	Incarnation uint64     `cbor:"2,keyasint"`
-	Heartbeat   *Heartbeat `cbor:"3,keyasint,omitempty"`
-	Digest      *Digest    `cbor:"5,keyasint,omitempty"`
-	Config      *Config    `cbor:"6,keyasint,omitempty"`
-	Release     *Release   `cbor:"7,keyasint,omitempty"`
+	From        string            `cbor:"1,keyasint"`
+	Incarnation uint64            `cbor:"2,keyasint"`
+	Heartbeat   *Heartbeat        `cbor:"3,keyasint,omitempty"`
+	Digest      *Digest           `cbor:"5,keyasint,omitempty"`
+	Config      *Config           `cbor:"6,keyasint,omitempty"`
+	Release     *Release          `cbor:"7,keyasint,omitempty"`
+	Leaving     *LeavingUpstreams `cbor:"8,keyasint,omitempty"`
+}
+
+// LeavingUpstreams names the upstreams of the sender's zone, and of the zones that it
+// adopts, that the platform lists as leaving. Watchers send it to the other
+// members of their zone, which do not read the list.
+type LeavingUpstreams struct {
+	Upstreams []string `cbor:"1,keyasint"`
 }
 
 // Config carries the whole dynamic configuration to a peer that has an older
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -95,8 +95,10 @@
 // leavingUpstreams joins the platform's list and the operators' drains.
 func (c *Core) leavingUpstreams() map[string]bool {
 	leaving := map[string]bool{}
-	for name := range c.leaving {
-		leaving[name] = true
+	for _, list := range c.leaving {
+		for _, name := range list.upstreams {
+			leaving[name] = true
+		}
 	}
 	for _, drain := range c.config.Drains {
 		if drain.Kind == settings.DrainUpstream {
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Last returns the last run of an instance, which is zero when there was none.
+func Last(ctx context.Context, client platform.Client, name string) (Run, error) {
+	u := &updater{client: client, name: name}
+	r, err := u.read(ctx)
+	return r.Last, err
+}
+
 // updater reads and writes one record until it succeeds.
 type updater struct {
 	client  platform.Client
