Serve operators over HTTPS

Commands are authenticated by the digest of a bearer token, compared in constant time; an address with ten refusals is turned away, with one more each 2 s. The audit record gets the operator's name from the credential. Changes need an operation id; their failures are told apart as refused (422), conflict with the changes that won (409), platform unreachable (503) and outcome unknown (504).

Reading the platform for each was ruled out, since an outage would blind the operators.

The client trusts instances by the firm's authority and not by their address, as internal/pki provides.

go test -race -count=3 ./internal/api ./internal/client ./cmd/sycamoreledge passes.

--- /dev/null
+++ b/internal/api/operators_test.go
@@ -0,0 +1,376 @@
+package api_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/api"
+	"sycamoreledge.example/internal/api/wire"
+	"sycamoreledge.example/internal/client"
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/event"
+	"sycamoreledge.example/internal/pki"
+	"sycamoreledge.example/internal/platform"
+	"sycamoreledge.example/internal/presets"
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/work"
+)
+
+const operatorToken = "token of the test"
+
+func digestOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// operatorsBench is an operators' server over a platform in memory, with a
+// client for it.
+type operatorsBench struct {
+	*gomega.WithT
+	memory  *platform.Memory
+	events  *event.Logger
+	config  atomic.Pointer[settings.Config]
+	left    atomic.Int64
+	address string
+	dir     string
+}
+
+// newOperatorsBench starts the server. The fake control loop takes accepted
+// configurations at once; the change adjusts the options.
+func newOperatorsBench(t *testing.T, change func(*operatorsBench, *api.OperatorsOptions)) *operatorsBench {
+	t.Helper()
+	b := &operatorsBench{WithT: expect(t), memory: platform.NewMemory(), events: event.Discard(), dir: t.TempDir()}
+	topology, err := settings.LoadTopology("../settings/testdata/topology.yaml")
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	initial, err := settings.LoadPreset("../settings/testdata/preset.yaml", topology)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.config.Store(presets.Initial(initial))
+	opts := api.OperatorsOptions{
+		Presets:   presets.NewStore(b.memory, topology, initial),
+		Snapshot:  b.snapshot,
+		Topology:  topology,
+		Operators: []settings.Operator{{Name: "ada", TokenSHA256: digestOf(operatorToken)}},
+		Accepted:  func(cfg *settings.Config) { b.config.Store(cfg) },
+		Leave:     func() { b.left.Add(1) },
+		TLS:       b.keys().OperatorServer(),
+		Events:    b.events,
+	}
+	if change != nil {
+		change(b, &opts)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.address = ln.Addr().String()
+	s := api.NewOperators(ln, opts)
+	s.Start()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 0)
+		defer cancel()
+		s.Stop(ctx)
+	})
+	return b
+}
+
+func (b *operatorsBench) snapshot() *control.Snapshot {
+	cfg := b.config.Load()
+	preset := cfg.Presets[cfg.InForce]
+	pool := work.PoolID{Service: "status", Zone: "east-b"}
+	return &control.Snapshot{
+		At: time.Now(), Self: "e1", Zone: "east-a", Region: "east", State: control.Serving,
+		Config: cfg, Preset: &preset,
+		Entries: []control.EntryView{
+			{Name: "e1", Zone: "east-a", Region: "east", Alive: true, State: control.Serving, ConfigVersion: cfg.Version},
+			{Name: "e3", Zone: "east-b", Region: "east"},
+		},
+		Pools: map[work.PoolID]*control.PoolView{pool: {ID: pool, Region: "east", Owners: []control.PoolOwner{{Instance: "e1", Slots: 1}}}},
+		Owned: map[work.PoolID]control.Grant{pool: {BaseUntil: time.Now().Add(time.Hour), Adopted: true}},
+	}
+}
+
+// keys makes the keys of the instance.
+func (b *operatorsBench) keys() *pki.Source {
+	authority, err := pki.NewAuthority("test", time.Now())
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	pair, err := authority.Issue("e1", []string{"127.0.0.1"}, time.Now())
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	files := pki.Files{Authority: b.path("ca.pem"), Certificate: b.path("e1.pem"), Key: b.path("e1.key")}
+	b.Expect(authority.Pair().Write(files.Authority, b.path("ca.key"))).To(gomega.Succeed())
+	b.Expect(pair.Write(files.Certificate, files.Key)).To(gomega.Succeed())
+	source, err := pki.NewSource(files, pki.Options{})
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	return source
+}
+
+func (b *operatorsBench) path(name string) string { return filepath.Join(b.dir, name) }
+
+func (b *operatorsBench) client(token string) *client.Client {
+	secure, err := pki.OperatorClient(b.path("ca.pem"))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	c, err := client.New(client.Options{Endpoints: []string{b.address}, Token: token, TLS: secure, Timeout: 2 * socketLimit})
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	return c
+}
+
+// expectCode checks that the error is an instance's with the status and code.
+func (b *operatorsBench) expectCode(err error, status int, code string) *client.APIError {
+	var answer *client.APIError
+	b.Expect(errors.As(err, &answer)).To(gomega.BeTrue(), "%v", err)
+	b.Expect(answer.Status).To(gomega.Equal(status), "%v", err)
+	b.Expect(answer.Answer.Code).To(gomega.Equal(code))
+	return answer
+}
+
+const peakPreset = `name: peak
+headroom: 0.1
+services:
+  - {name: status, deadline: 2s, dispatch_timeout: 1500ms, queue: 50, shift_rate: 10, shift_ramp: 10s}
+`
+
+func operation(id string) client.Change { return client.Change{Operation: id} }
+
+func TestPresetFromApplyToHistory(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	c := b.client(operatorToken)
+	applied, err := c.Apply(t.Context(), operation("op1"), "peak", []byte(peakPreset))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	used, err := c.Use(t.Context(), operation("op2"), "peak")
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(used.Version).To(gomega.BeNumerically(">", applied.Version))
+	drained, err := c.Drain(t.Context(), operation("op3"), settings.Drain{Kind: settings.DrainUpstream, Name: "s1"}, false)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(drained.Drains).To(gomega.HaveLen(1))
+
+	list, err := c.Presets(t.Context())
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(*list).To(gomega.Equal(wire.Presets{Version: drained.Version, InForce: "peak", Names: []string{"ordinary", "peak"}}))
+	shown, err := c.Preset(t.Context(), "peak")
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(shown.Preset.Headroom).To(gomega.Equal(0.1))
+	_, err = c.Preset(t.Context(), "none")
+	b.expectCode(err, http.StatusNotFound, wire.CodeNotFound)
+
+	history, err := c.History(t.Context(), 2)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(history.Records).To(gomega.HaveLen(2))
+	b.Expect(history.Records[0].Operation).To(gomega.Equal("op3"), "the newest first")
+	b.Expect(history.Records[1].Operator).To(gomega.Equal("ada"), "the name comes from the credential")
+	b.Expect(b.events.Count(event.ChangeApplied)).To(gomega.BeEquivalentTo(3))
+}
+
+func TestRepeatedOperationHasOneEffect(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	c := b.client(operatorToken)
+	first, err := c.Apply(t.Context(), operation("op1"), "peak", []byte(peakPreset))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	again, err := c.Apply(t.Context(), operation("op1"), "peak", []byte(peakPreset))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(again.Repeated).To(gomega.BeTrue())
+	b.Expect(again.Version).To(gomega.Equal(first.Version))
+}
+
+func TestFaultsOfChanges(t *testing.T) {
+	noSuch := settings.Drain{Kind: settings.DrainZone, Name: "nowhere"}
+	cases := []struct {
+		name   string
+		faults platform.Faults
+		change func(c *client.Client) error
+		status int
+		code   string
+		event  event.ID
+	}{
+		{"unknown preset", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Use(t.Context(), operation("op"), "none")
+			return err
+		}, 422, wire.CodeRefused, event.ChangeRefused},
+		{"unknown zone", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Drain(t.Context(), operation("op"), noSuch, false)
+			return err
+		}, 422, wire.CodeRefused, event.ChangeRefused},
+		{"unknown kind of drain", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Drain(t.Context(), operation("op"), settings.Drain{Kind: "moon", Name: "x"}, false)
+			return err
+		}, 400, wire.CodeBadRequest, event.ChangeRefused},
+		{"preset names an unknown service", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Apply(t.Context(), operation("op"), "peak", []byte("name: peak\nheadroom: 0.1\nservices:\n  - {name: none, deadline: 1s, dispatch_timeout: 1s, queue: 1}\n"))
+			return err
+		}, 422, wire.CodeInvalidPreset, event.ChangeRefused},
+		{"preset under another name", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Apply(t.Context(), operation("op"), "calm", []byte(peakPreset))
+			return err
+		}, 400, wire.CodeBadRequest, event.ChangeRefused},
+		{"no operation id", platform.Faults{}, func(c *client.Client) error {
+			_, err := c.Use(t.Context(), operation(""), "ordinary")
+			return err
+		}, 400, wire.CodeBadRequest, event.ID(0)},
+		{"older version expected", platform.Faults{}, func(c *client.Client) error {
+			if _, err := c.Apply(t.Context(), operation("first"), "peak", []byte(peakPreset)); err != nil {
+				return err
+			}
+			if _, err := c.Use(t.Context(), operation("second"), "peak"); err != nil {
+				return err
+			}
+			_, err := c.Use(t.Context(), client.Change{Operation: "third", IfVersion: 1}, "ordinary")
+			return err
+		}, 409, wire.CodeConflict, event.ChangeConflict},
+		{"platform down", platform.Faults{Down: true}, func(c *client.Client) error {
+			_, err := c.Use(t.Context(), operation("op"), "ordinary")
+			return err
+		}, 503, wire.CodeUnavailable, event.OperatorFailed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+				o.Presets.(*presets.Store).Timeout = 200 * time.Millisecond
+			})
+			b.memory.SetFaults(tc.faults)
+			answer := b.expectCode(tc.change(b.client(operatorToken)), tc.status, tc.code)
+			if tc.event != 0 {
+				b.Expect(b.events.Count(tc.event)).To(gomega.BeEquivalentTo(1))
+			}
+			if tc.status == http.StatusConflict {
+				conflict, ok := answer.Conflict()
+				b.Expect(ok).To(gomega.BeTrue())
+				b.Expect(conflict.Won[len(conflict.Won)-1].Operation).To(gomega.Equal("second"))
+			}
+		})
+	}
+}
+
+func TestLostAnswerIsUncertainAndItsRepeatTells(t *testing.T) {
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Presets = uncertainOnce{o.Presets, new(atomic.Bool)}
+	})
+	c := b.client(operatorToken)
+	_, err := c.Use(t.Context(), operation("op1"), "ordinary")
+	b.expectCode(err, http.StatusGatewayTimeout, wire.CodeUncertain)
+	b.Expect(b.events.Count(event.ChangeUncertain)).To(gomega.BeEquivalentTo(1))
+	again, err := c.Use(t.Context(), operation("op1"), "ordinary")
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(again.Repeated).To(gomega.BeTrue())
+}
+
+// uncertainOnce makes the first choice of a preset and loses its outcome.
+type uncertainOnce struct {
+	api.Presets
+	lost *atomic.Bool
+}
+
+func (u uncertainOnce) Use(ctx context.Context, req presets.Request, name string) (presets.Result, error) {
+	result, err := u.Presets.Use(ctx, req, name)
+	if err == nil && u.lost.CompareAndSwap(false, true) {
+		return presets.Result{}, presets.Uncertain.New("the answer was lost")
+	}
+	return result, err
+}
+
+func TestReadsGoOnWithoutThePlatform(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	c := b.client(operatorToken)
+	_, err := c.Apply(t.Context(), operation("op1"), "peak", []byte(peakPreset))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.memory.SetFaults(platform.Faults{Down: true})
+	list, err := c.Presets(t.Context())
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(list.Names).To(gomega.ContainElement("peak"))
+	history, err := c.History(t.Context(), 10)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(history.Records).To(gomega.HaveLen(1))
+}
+
+func TestNoAnswerShowsAnOlderVersionThanBefore(t *testing.T) {
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Accepted = nil // the control loop has not got the change yet
+	})
+	before := b.config.Load()
+	c := b.client(operatorToken)
+	changed, err := c.Apply(t.Context(), operation("op1"), "peak", []byte(peakPreset))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(changed.Version).To(gomega.BeNumerically(">", before.Version))
+	_, err = c.Status(t.Context(), false)
+	b.expectCode(err, http.StatusServiceUnavailable, wire.CodeNotReady)
+	_, err = c.Presets(t.Context())
+	b.expectCode(err, http.StatusServiceUnavailable, wire.CodeNotReady)
+
+	newer := *before
+	newer.Version = changed.Version
+	b.config.Store(&newer)
+	status, err := c.Status(t.Context(), false)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(status.ConfigVersion).To(gomega.Equal(changed.Version))
+}
+
+func TestStatusAndExplanation(t *testing.T) {
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Explain = func() []string { return []string{"upstream s1 is suspect"} }
+	})
+	c := b.client(operatorToken)
+	status, err := c.Status(t.Context(), true)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(status.Preset).To(gomega.Equal("ordinary"))
+	b.Expect(status.Entries[0].Operators).To(gomega.Equal("127.0.0.1:7002"), "from the topology")
+	b.Expect(status.Pools[0].Owners[0].Adopted).To(gomega.BeTrue())
+	b.Expect(status.Explain).To(gomega.ContainElements(
+		gomega.ContainSubstring("e3 in east-b does not answer"),
+		gomega.ContainSubstring("status@east-b is adopted"),
+		"upstream s1 is suspect",
+	))
+	status, err = c.Status(t.Context(), false)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(status.Explain).To(gomega.BeEmpty())
+}
+
+func TestLeaveBeginsThePlannedStop(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	post := func(token string) int {
+		secure, err := pki.OperatorClient(b.path("ca.pem"))
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		req, err := http.NewRequest(http.MethodPost, "https://"+b.address+"/v1/leave", nil)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := (&http.Client{Transport: &http.Transport{TLSClientConfig: secure}}).Do(req)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(resp.Body.Close()).To(gomega.Succeed())
+		return resp.StatusCode
+	}
+	b.Expect(post("wrong")).To(gomega.Equal(http.StatusUnauthorized))
+	b.Expect(b.left.Load()).To(gomega.BeZero())
+	b.Expect(post(operatorToken)).To(gomega.Equal(http.StatusAccepted))
+	b.Expect(b.left.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+func TestRefusedCredentialsAreLimited(t *testing.T) {
+	var now atomic.Int64
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Now = func() time.Time { return time.Unix(now.Load(), 0) }
+	})
+	wrong, right := b.client("wrong"), b.client(operatorToken)
+	for i := range 10 {
+		_, err := wrong.Presets(t.Context())
+		b.expectCode(err, http.StatusUnauthorized, wire.CodeUnauthorized)
+		b.Expect(b.events.Count(event.OperatorRefused)).To(gomega.BeEquivalentTo(i + 1))
+	}
+	_, err := wrong.Presets(t.Context())
+	b.expectCode(err, http.StatusTooManyRequests, wire.CodeTooManyRefusals)
+	b.Expect(b.events.Count(event.OperatorLimited)).To(gomega.BeEquivalentTo(1))
+	now.Add(2)
+	_, err = right.Presets(t.Context())
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func TestOnlyHTTPSIsSpoken(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	got := exchange(t, b.address, "GET /v1/status HTTP/1.1", "Authorization: Bearer "+operatorToken)
+	b.Expect(got.err != nil || got.status == http.StatusBadRequest).To(gomega.BeTrue(), fmt.Sprint(got))
+	b.Expect(b.events.Count(event.OperatorRefused)).To(gomega.BeZero())
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,14 +7,12 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -65,9 +63,9 @@
 	Endpoints []string
 	// Token is the operator's bearer token.
 	Token string
-	// CAFile holds the firm's authority in PEM; without one the system's
-	// authorities count.
-	CAFile string
+	// TLS says which instances are trusted; nil trusts the authorities of the
+	// system.
+	TLS *tls.Config
 	// Timeout bounds one call to one instance; 0 means DefaultTimeout.
 	Timeout time.Duration
 }
@@ -96,13 +94,7 @@
 		}
 		c.endpoints = append(c.endpoints, endpoint)
 	}
-	roots, err := loadRoots(opts.CAFile)
-	if err != nil {
-		return nil, err
-	}
-	c.http = &http.Client{Transport: &http.Transport{
-		TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13},
-	}}
+	c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS}}
 	return c, nil
 }
 
@@ -121,21 +113,6 @@
 	return &url.URL{Scheme: endpoint.Scheme, Host: endpoint.Host}, nil
 }
 
-func loadRoots(file string) (*x509.CertPool, error) {
-	if file == "" {
-		return nil, nil
-	}
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return nil, Error.New("%s holds no certificate in PEM form", file)
-	}
-	return roots, nil
-}
-
 // NewOperation returns a fresh operation id.
 func NewOperation() string {
 	var id [operationBytes]byte
