--- a/cmd/sycamoreledge/connect.go
+++ b/cmd/sycamoreledge/connect.go
@@ -10,7 +10,6 @@
 	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/client"
-	"sycamoreledge.example/internal/pki"
 )
 
 // tokenVariable may hold the operator's token; there is no flag for it, since
@@ -46,13 +45,12 @@
 	if err != nil {
 		return nil, err
 	}
-	opts := client.Options{Endpoints: file.Endpoints, Token: token, Timeout: c.Timeout}
-	if file.Authority != "" {
-		if opts.TLS, err = pki.OperatorClient(file.Authority); err != nil {
-			return nil, err
-		}
-	}
-	return client.New(opts)
+	return client.New(client.Options{
+		Endpoints: file.Endpoints,
+		Token:     token,
+		CAFile:    file.Authority,
+		Timeout:   c.Timeout,
+	})
 }
 
 // readClientSettings reads the file, with its paths relative to it.
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/api/wire"
+	"sycamoreledge.example/internal/pki"
 )
 
 var (
@@ -63,8 +64,11 @@
 	Endpoints []string
 	// Token is the operator's bearer token.
 	Token string
-	// TLS says which instances are trusted; nil trusts the authorities of the
-	// system.
+	// CAFile holds the firm's authority in PEM: any instance with a certificate
+	// of it is trusted, whatever its address. Without one the authorities of
+	// the system count.
+	CAFile string
+	// TLS goes before CAFile where it is set.
 	TLS *tls.Config
 	// Timeout bounds one call to one instance; 0 means DefaultTimeout.
 	Timeout time.Duration
@@ -94,10 +98,22 @@
 		}
 		c.endpoints = append(c.endpoints, endpoint)
 	}
-	c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS}}
+	secure, err := trusted(opts)
+	if err != nil {
+		return nil, err
+	}
+	c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: secure}}
 	return c, nil
 }
 
+func trusted(opts Options) (*tls.Config, error) {
+	if opts.TLS != nil || opts.CAFile == "" {
+		return opts.TLS, nil
+	}
+	secure, err := pki.OperatorClient(opts.CAFile)
+	return secure, Error.Wrap(err)
+}
+
 // parseEndpoint accepts host:port and https://host:port.
 func parseEndpoint(text string) (*url.URL, error) {
 	if !strings.Contains(text, "://") {
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -168,9 +168,10 @@
 
 func TestOptionsAreChecked(t *testing.T) {
 	cases := map[string]client.Options{
-		"no endpoint": {},
-		"no port":     {Endpoints: []string{"127.0.0.1"}},
-		"plain http":  {Endpoints: []string{"http://127.0.0.1:80"}},
+		"no endpoint":  {},
+		"no port":      {Endpoints: []string{"127.0.0.1"}},
+		"plain http":   {Endpoints: []string{"http://127.0.0.1:80"}},
+		"no authority": {Endpoints: []string{"127.0.0.1:80"}, CAFile: "/does/not/exist"},
 	}
 	for name, opts := range cases {
 		t.Run(name, func(t *testing.T) {
