Add the stand-in of the links between availability zones

One process forwards all TCP and UDP addresses of a run with the one-way delay of each pair of zones, the rate shared between two regions, and cuts that hold TCP bytes and drop datagrams in one direction or both.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -17,6 +17,7 @@
 	Generate  generateCmd  `cmd:"" help:"Write a run of a firm on loopback addresses."`
 	Platform  platformCmd  `cmd:"" help:"Serve the stand-in of the platform of a run."`
 	Upstreams upstreamsCmd `cmd:"" help:"Serve the upstreams of one availability zone of a run."`
+	Links     linksCmd     `cmd:"" help:"Forward between the availability zones of a run with delay, rate and cuts."`
 	Call      callCmd      `cmd:"" help:"Send the callers' load of one availability zone of a run."`
 	Run       runCmd       `cmd:"" help:"Start a firm, show it for a while and judge what came of it."`
 	Promises  promisesCmd  `cmd:"" help:"Run the fault cases and tell which promises held."`
--- /dev/null
+++ b/internal/entry/platform.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/event"
+	"sycamoreledge.example/internal/instances"
+	"sycamoreledge.example/internal/platform"
+	"sycamoreledge.example/internal/presets"
+	"sycamoreledge.example/internal/settings"
+)
+
+const (
+	// registerTimeout bounds how long a start waits for the platform.
+	registerTimeout = 2 * time.Second
+	// registerPause is the time between later attempts to register.
+	registerPause = time.Second
+	// listInterval is the time between two reads of the list of instances.
+	listInterval = time.Second
+	// watcherCheck is how often an instance looks whether it is to watch.
+	watcherCheck = 500 * time.Millisecond
+)
+
+// register records this run on the platform and learns which former runs in
+// the zone may still have requests in flight: all, when the platform is absent.
+func (e *entry) register(ctx context.Context) {
+	e.identity = control.Identity{
+		Instance:    e.self.Name,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	former, incarnation, err := instances.Start(ctx, e.platform, e.self.Name, e.identity.Incarnation)
+	if err != nil {
+		e.events.Log(event.PlatformAbsent, "address", e.bundle.Settings.Platform.Address, "error", err)
+		e.unclean = e.zoneInstances()
+		return
+	}
+	e.identity.Incarnation = incarnation
+	if isUnclean(former) {
+		e.unclean = append(e.unclean, e.self.Name)
+	}
+	for _, mate := range e.zoneInstances() {
+		if mate == e.self.Name {
+			continue
+		}
+		last, err := instances.Last(ctx, e.platform, mate)
+		if err != nil || isUnclean(last) {
+			e.unclean = append(e.unclean, mate)
+		}
+	}
+}
+
+func isUnclean(run instances.Run) bool { return run.Incarnation > 0 && !run.Clean }
+
+// zoneInstances returns the declared instances of the own zone.
+func (e *entry) zoneInstances() []string {
+	var names []string
+	own := e.bundle.Topology.ZoneOf(e.self.Name)
+	for _, zone := range e.bundle.Topology.Zones() {
+		if zone.Name != own {
+			continue
+		}
+		for _, inst := range zone.Instances {
+			names = append(names, inst.Name)
+		}
+	}
+	return names
+}
+
+// watch follows the platform while this instance is one of its zone's
+// watchers.
+func (e *entry) watch(ctx context.Context) {
+	watcher := &presets.Watcher{Client: e.platform, OnConfig: e.learned}
+	ticker := time.NewTicker(watcherCheck)
+	defer ticker.Stop()
+	var stop context.CancelFunc
+	defer func() {
+		if stop != nil {
+			stop()
+		}
+	}()
+	for {
+		s := e.loop.Snapshot()
+		watcher.Observe(s.Config.Version)
+		e.presets.Observe(s.Config.Version)
+		switch {
+		case s.Watcher && stop == nil:
+			var watching context.Context
+			watching, stop = context.WithCancel(ctx)
+			go watcher.Run(watching)
+			go e.followList(watching)
+		case !s.Watcher && stop != nil:
+			stop()
+			stop = nil
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// learned takes a configuration that the platform accepted. One that does not
+// fit the topology of this instance is not put into force.
+func (e *entry) learned(cfg *settings.Config) {
+	preset, known := cfg.Presets[cfg.InForce]
+	if known {
+		if err := settings.CheckPreset(e.bundle.Topology, &preset, cfg.Drains); err != nil {
+			e.events.Log(event.ConfigInvalid, "source", "platform", "version", cfg.Version, "error", err)
+			return
+		}
+	}
+	e.loop.AcceptConfig(cfg)
+}
+
+// followList reads the platform's list of instances, whose leaving upstreams
+// get no new work.
+func (e *entry) followList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		if list, err := e.platform.Instances(ctx); err == nil {
+			e.loop.Do(func(c *control.Core) { c.SetLeavingUpstreams(leavingNames(list)) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func leavingNames(list []platform.Instance) []string {
+	var names []string
+	for _, inst := range list {
+		if inst.State == platform.InstanceLeaving {
+			names = append(names, inst.Name)
+		}
+	}
+	return names
+}
+
+// watchedPlatform reports when the platform stops and starts to answer.
+type watchedPlatform struct {
+	platform.Client
+	events *event.Logger
+
+	mu        sync.Mutex
+	lostSince time.Time
+}
+
+func (p *watchedPlatform) note(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch lost := platform.Unavailable.Has(err); {
+	case lost && p.lostSince.IsZero():
+		p.lostSince = time.Now()
+		p.events.Log(event.PlatformUnreachable, "error", err)
+	case !lost && !p.lostSince.IsZero():
+		p.events.Log(event.PlatformBack, "after", time.Since(p.lostSince))
+		p.lostSince = time.Time{}
+	}
+}
+
+// Get implements platform.Client.
+func (p *watchedPlatform) Get(ctx context.Context, key string) (platform.Object, error) {
+	obj, err := p.Client.Get(ctx, key)
+	p.note(err)
+	return obj, err
+}
+
+// Put implements platform.Client.
+func (p *watchedPlatform) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	obj, err := p.Client.Put(ctx, key, value, version)
+	p.note(err)
+	return obj, err
+}
+
+// Instances implements platform.Client.
+func (p *watchedPlatform) Instances(ctx context.Context) ([]platform.Instance, error) {
+	list, err := p.Client.Instances(ctx)
+	p.note(err)
+	return list, err
+}
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,182 @@
+package link_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/lab/link"
+)
+
+const oneWay = 20 * time.Millisecond
+
+// echoTCP answers each byte with itself.
+func echoTCP(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(conn, conn) //nolint:errcheck // ends with the connection
+				conn.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// echoUDP answers each datagram with itself.
+func echoUDP(t *testing.T) string {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, from, err := conn.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			conn.WriteTo(buf[:n], from) //nolint:errcheck // a test waits for it
+		}
+	}()
+	return conn.LocalAddr().String()
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T, network string) string {
+	if network == link.UDP {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		return conn.LocalAddr().String()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T, network, target string, rate float64) (*link.Links, net.Conn) {
+	f := link.Forward{From: "a", To: "b", Network: network, Listen: freeAddress(t, network), Target: target}
+	links, err := link.New(link.Config{
+		Zones:    []link.Zone{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}},
+		Forwards: []link.Forward{f},
+		Delay:    func(link.Zone, link.Zone) time.Duration { return oneWay },
+		Rate:     func(string, string) float64 { return rate },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { links.Close() })
+	conn, err := net.Dial(network, f.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return links, conn
+}
+
+// roundTrip returns how long an echo took, or an error after the wait.
+func roundTrip(conn net.Conn, wait time.Duration) (time.Duration, error) {
+	began := time.Now()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return 0, err
+	}
+	conn.SetReadDeadline(time.Now().Add(wait)) //nolint:errcheck // an open socket takes it
+	_, err := conn.Read(make([]byte, 8))
+	return time.Since(began), err
+}
+
+func TestDelayIsAddedInBothDirections(t *testing.T) {
+	for network, target := range map[string]string{link.TCP: echoTCP(t), link.UDP: echoUDP(t)} {
+		t.Run(network, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, conn := start(t, network, target, 0)
+			took, err := roundTrip(conn, 5*time.Second)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(took).To(gomega.BeNumerically(">=", 2*oneWay))
+		})
+	}
+}
+
+func TestCutsHoldOneWay(t *testing.T) {
+	for _, direction := range []link.Direction{link.CutBoth, link.CutForward, link.CutBackward} {
+		t.Run(string(direction), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			links, conn := start(t, link.UDP, echoUDP(t), 0)
+			g.Expect(links.Apply(link.Change{A: "a", B: "y", Cut: direction})).To(gomega.Succeed())
+			_, err := roundTrip(conn, 5*oneWay)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(links.Apply(link.Change{A: "x", B: "b", Cut: link.CutNone})).To(gomega.Succeed())
+			_, err = roundTrip(conn, 5*time.Second)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	}
+}
+
+func TestConnectionsSurviveACut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	links, conn := start(t, link.TCP, echoTCP(t), 0)
+	g.Expect(links.Apply(link.Change{A: "a", B: "b", Cut: link.CutBoth})).To(gomega.Succeed())
+	_, err := roundTrip(conn, 5*oneWay)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(links.Apply(link.Change{A: "a", B: "b", Cut: link.CutNone})).To(gomega.Succeed())
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second)) //nolint:errcheck // an open socket takes it
+	n, err := conn.Read(make([]byte, 8))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n).To(gomega.Equal(1))
+}
+
+func TestRateBoundsThroughput(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const rate = 1 << 20 // bytes per second
+	const size = 256 << 10
+	links, conn := start(t, link.TCP, echoTCP(t), rate)
+	began := time.Now()
+	go conn.Write(make([]byte, size)) //nolint:errcheck // the echo tells
+	_, err := io.ReadFull(conn, make([]byte, size))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", time.Second*size/rate))
+	for _, s := range links.Statuses() {
+		g.Expect(s.Bytes).To(gomega.BeEquivalentTo(size), s.From)
+	}
+}
+
+func TestAdminRefusesWhatItDoesNotKnow(t *testing.T) {
+	links, _ := start(t, link.TCP, echoTCP(t), 0)
+	for name, body := range map[string]any{
+		"unknown zone":      link.Change{A: "a", B: "elsewhere", Cut: link.CutBoth},
+		"unknown direction": link.Change{A: "a", B: "b", Cut: "sideways"},
+		"unknown field":     map[string]string{"link": "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			data, err := json.Marshal(body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			answer := httptest.NewRecorder()
+			links.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/lab/links", bytes.NewReader(data)))
+			g.Expect(answer.Code).To(gomega.Equal(http.StatusBadRequest))
+		})
+	}
+}
