Add cases for shifts, expired keys, the list and an absent platform

A shift needs a check of its own: callers in one zone overload it, and the counts of the other regions, read every 100 ms, must stay within the cap in every window and within the headroom at every look. Further cases: keys that expire, a platform that starts after the entries, upstreams that only the platform's list knows to leave. Deadlines of the load are shortened, as an ordinary upload may take longer than a case.

--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -117,6 +117,11 @@
 			return err
 		}
 	}
+	if !o.WithoutPlatform {
+		if err := c.SetInstances(ctx); err != nil {
+			return err
+		}
+	}
 	for _, e := range c.Plan.Entries {
 		if err := c.procs[e.Name].Start(); err != nil {
 			return err
@@ -157,7 +162,10 @@
 	if err := c.procs[platformName].Start(); err != nil {
 		return err
 	}
-	return c.await(ctx, platformName, c.standIns()[platformName])
+	if err := c.await(ctx, platformName, c.standIns()[platformName]); err != nil {
+		return err
+	}
+	return c.SetInstances(ctx)
 }
 
 // Ready waits until an entry takes requests.
--- a/internal/lab/cluster/control.go
+++ b/internal/lab/cluster/control.go
@@ -9,6 +9,7 @@
 
 	"sycamoreledge.example/internal/lab/firm"
 	"sycamoreledge.example/internal/lab/upstream"
+	"sycamoreledge.example/internal/platform"
 )
 
 // maxErrorBytes is how much of an error answer is quoted.
@@ -94,6 +95,34 @@
 	return all, nil
 }
 
+// SetInstances replaces the platform's list: all entries and upstreams are
+// live but for those that leave.
+func (c *Cluster) SetInstances(ctx context.Context, leaving ...string) error {
+	left := map[string]bool{}
+	for _, name := range leaving {
+		left[name] = true
+	}
+	var list []platform.Instance
+	add := func(name string) {
+		state := platform.InstanceLive
+		if left[name] {
+			state = platform.InstanceLeaving
+		}
+		list = append(list, platform.Instance{Name: name, State: state})
+	}
+	for _, e := range c.Plan.Entries {
+		add(e.Name)
+	}
+	for _, service := range c.Plan.Topology.Services {
+		for _, pool := range service.Pools {
+			for _, u := range pool.Upstreams {
+				add(u.Name)
+			}
+		}
+	}
+	return c.call(ctx, http.MethodPut, "http://"+c.Plan.Platform+"/lab/instances", list, nil)
+}
+
 // Knobs are the faults of the platform to change, by their names in JSON.
 type Knobs map[string]any
 
--- a/internal/lab/firm/secrets.go
+++ b/internal/lab/firm/secrets.go
@@ -87,10 +87,35 @@
 		sum := sha256.Sum256([]byte(token))
 		list = append(list, settings.Operator{Name: name, TokenSHA256: hex.EncodeToString(sum[:])})
 		p.Tokens[name] = token
+		if err := writeClient(p, name, token); err != nil {
+			return err
+		}
 	}
 	return writeYAML(filepath.Join(p.Dir, operatorsFile), list)
 }
 
+// ClientSettings returns the file from which sycamoreledge's commands take the
+// addresses and the credential of an operator.
+func (p *Plan) ClientSettings(operator string) string {
+	return filepath.Join(p.Dir, "client-"+operator+".yaml")
+}
+
+// writeClient writes the file of ClientSettings with its token.
+func writeClient(p *Plan, operator, token string) error {
+	file := struct {
+		Endpoints []string `yaml:"endpoints"`
+		Authority string   `yaml:"authority"`
+		TokenFile string   `yaml:"token_file"`
+	}{Authority: p.Authority, TokenFile: operator + ".token"}
+	for _, e := range p.Entries {
+		file.Endpoints = append(file.Endpoints, e.Operators)
+	}
+	if err := writeFile(p, file.TokenFile, token+"\n"); err != nil {
+		return err
+	}
+	return writeYAML(p.ClientSettings(operator), file)
+}
+
 // writeFile stores a text in the directory of the run.
 func writeFile(p *Plan, name, text string) error {
 	return Error.Wrap(os.WriteFile(filepath.Join(p.Dir, name), []byte(text), filePerm))
--- a/internal/lab/promises/case.go
+++ b/internal/lab/promises/case.go
@@ -22,6 +22,9 @@
 	hold = 6 * time.Second
 	// stagger is the time between the beginnings of two faults.
 	stagger = 300 * time.Millisecond
+	// maxDeadline is the longest deadline of the load: uploads of an ordinary
+	// day may take longer than a case.
+	maxDeadline = 8 * time.Second
 	// settle is how long the load goes on after the last fault.
 	settle = 2 * time.Second
 )
@@ -37,6 +40,9 @@
 	times int
 	// twice is the share of the operations sent through two entries at once.
 	twice float64
+	// options changes how the cluster is started; it is used for this case
+	// alone then.
+	options func(*trial.Options)
 	// special replaces load and faults.
 	special func(ctx context.Context, e *env) error
 	checks  []Promise
@@ -77,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), Twice: c.twice})
+	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, Twice: c.twice})
 	pause(ctx, warmUp)
 	made, err := c.disturb(ctx, e)
 	c.settle(ctx, e, w, made)
@@ -114,9 +120,30 @@
 			made.healed = time.Now()
 		}
 	}
+	if made == nil {
+		made = c.changeAgain(ctx, e)
+	}
 	return made, nil
 }
 
+// changeTries is how often a change is tried after the faults.
+const changeTries = 5
+
+// changeAgain changes the preset after the faults, when that was not possible
+// meanwhile.
+func (c *Case) changeAgain(ctx context.Context, e *env) *change {
+	healthy := Case{}
+	for range changeTries {
+		if made := healthy.change(ctx, e); made != nil {
+			made.healed = made.accepted
+			return made
+		}
+		pause(ctx, time.Second)
+	}
+	e.broken(Config, "no change is accepted after the faults have ended")
+	return nil
+}
+
 // begin starts the faults one shortly after the other.
 func (c *Case) begin(ctx context.Context, e *env) error {
 	failed := make([]error, len(c.faults))
@@ -160,6 +187,8 @@
 		return nil
 	}
 	operation := client.NewOperation()
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	changed, err := operator.Use(ctx, client.Change{Operation: operation}, e.otherPreset(ctx, operator))
 	e.note(operation, err)
 	if err != nil {
@@ -175,6 +204,9 @@
 	return made
 }
 
+// changeTimeout bounds one change.
+const changeTimeout = 10 * time.Second
+
 // otherPreset is the one that is not in force.
 func (e *env) otherPreset(ctx context.Context, operator *client.Client) string {
 	presets, err := operator.Presets(ctx)
--- a/internal/lab/promises/check_test.go
+++ b/internal/lab/promises/check_test.go
@@ -111,3 +111,30 @@
 		g.Expect(kinds).To(gomega.HaveKey(kind))
 	}
 }
+
+func TestAShiftMustStayWithinItsCapInEveryWindow(t *testing.T) {
+	policy := &settings.ServicePolicy{ShiftRate: 100}
+	// at lists what the region had started after each second.
+	cases := []struct {
+		name string
+		at   []int64
+		want int
+	}{
+		{"steady", []int64{0, 100, 200, 300}, 0},
+		{"with a burst", []int64{0, 110, 200, 300}, 0},
+		{"over in one window", []int64{0, 10, 130, 200}, 1},
+		{"over in the sum", []int64{0, 105, 210, 315}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var windows []window
+			for i, n := range c.at {
+				at := after(time.Duration(i) * time.Second)
+				windows = append(windows, window{begin: at, end: at, started: map[string]int64{"west": n}})
+			}
+			r := &Report{}
+			checkShiftCap(r, windows, "west", policy, 2)
+			gomega.NewWithT(t).Expect(r.of(Caps)).To(gomega.HaveLen(c.want))
+		})
+	}
+}
--- a/internal/lab/promises/fault.go
+++ b/internal/lab/promises/fault.go
@@ -176,6 +176,7 @@
 		faulty("upstreams-slow", upstream.Fault{SlowFactor: 5, LoadLag: 2e9}),
 		faulty("upstreams-lie", upstream.Fault{HealthLies: true, LoadLies: true, SlowFactor: 3}),
 		faulty("upstreams-leave", upstream.Fault{Leaving: true, HealthLag: 500e6}, Leaving),
+		{name: "upstreams-leave-by-list", begin: leaveByList, end: returnToList, hurts: nobody, checks: []Promise{Leaving}},
 		{name: "upstreams-restart", begin: restartUpstreams, end: restartUpstreams, hurts: nobody},
 	}
 }
@@ -203,6 +204,29 @@
 	}
 }
 
+// listLag is how late the platform's list shows that an upstream leaves.
+const listLag = time.Second
+
+// leaveByList lets some upstreams leave that only the platform's list knows
+// of; their health endpoints claim that they stay.
+func leaveByList(ctx context.Context, e *env) error {
+	if err := e.Cluster.SetPlatform(ctx, cluster.Knobs{"lag_ms": listLag.Milliseconds()}); err != nil {
+		return err
+	}
+	if err := e.Cluster.SetInstances(ctx, someUpstreams(e.Plan)...); err != nil {
+		return err
+	}
+	return setUpstreams(upstream.Fault{Leaving: true, HealthLies: true, HealthLag: listLag})(ctx, e)
+}
+
+// returnToList makes them live again.
+func returnToList(ctx context.Context, e *env) error {
+	if err := e.Cluster.SetInstances(ctx); err != nil {
+		return err
+	}
+	return setUpstreams(upstream.Fault{})(ctx, e)
+}
+
 // restartUpstreams cuts all connections of some upstreams and makes them cold.
 func restartUpstreams(ctx context.Context, e *env) error {
 	for _, name := range someUpstreams(e.Plan) {
--- a/internal/lab/promises/promise.go
+++ b/internal/lab/promises/promise.go
@@ -21,6 +21,8 @@
 	Stops   Promise = "stops"
 	Config  Promise = "config"
 	Caps    Promise = "caps"
+	// Headroom is kept free of requests from other zones.
+	Headroom Promise = "headroom"
 )
 
 // kinds maps the violations found in ledgers to promises.
--- a/internal/lab/promises/special.go
+++ b/internal/lab/promises/special.go
@@ -16,6 +16,7 @@
 	"sycamoreledge.example/internal/lab/caller"
 	"sycamoreledge.example/internal/lab/cluster"
 	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/lab/trial"
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/work"
 )
@@ -32,6 +33,9 @@
 		{Name: "change whose answer is lost", special: lostAnswer, checks: []Promise{Config}},
 		{Name: "operator dies half way", special: dyingOperator, checks: []Promise{Config}},
 		{Name: "presets that break a limit", special: badPresets, checks: []Promise{Config}},
+		{Name: "shift under caps", special: shift, checks: []Promise{Slots, Answers, Caps, Headroom}},
+		{Name: "expired keys", special: expiredKeys, checks: once, options: func(o *trial.Options) { o.KeyLifetime = shortLifetime }},
+		{Name: "platform absent at start", faults: []fault{absentPlatform()}, options: func(o *trial.Options) { o.WithoutPlatform = true }},
 	}
 }
 
@@ -145,6 +149,47 @@
 	return nil
 }
 
+// shortLifetime is that of the keys in the case about expiry.
+const shortLifetime = 3 * time.Second
+
+// expiredKeys repeats an order and sends a new one under keys that expired
+// meanwhile.
+func expiredKeys(ctx context.Context, e *env) error {
+	c := e.caller()
+	defer c.Close()
+	used, err := e.call(ctx, c, work.Order, "used-key", []byte("order"))
+	if err != nil {
+		return err
+	}
+	unused, err := e.call(ctx, c, work.Order, "unused-key", []byte("order"))
+	if err != nil {
+		return err
+	}
+	entry := e.Plan.Entries[0].Callers
+	first := c.Send(ctx, entry, used)
+	e.expect(Once, "order under a fresh key", first, work.Run, "")
+	pause(ctx, 2*shortLifetime)
+	again := c.Send(ctx, entry, used)
+	e.Note(caller.Combine(used, first, again))
+	late := c.Send(ctx, entry, unused)
+	if late.Outcome == work.Run {
+		e.broken(Once, "an order ran under an expired key")
+	}
+	e.Note(caller.Combine(unused, late))
+	return nil
+}
+
+// absentPlatform is a platform that starts after the entries.
+func absentPlatform() fault {
+	return fault{
+		name:   "platform absent at start",
+		begin:  func(context.Context, *env) error { return nil },
+		end:    func(ctx context.Context, e *env) error { return e.Cluster.StartPlatform(ctx) },
+		hurts:  nobody,
+		silent: true,
+	}
+}
+
 // rounds is how often the cases with operators repeat.
 const rounds = 5
 
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -26,6 +27,8 @@
 	Firm, Bin, Dir  string
 	Seed            uint64
 	WithoutPlatform bool
+	// KeyLifetime replaces the lifetime of issued keys when above 0.
+	KeyLifetime time.Duration
 }
 
 // Trial is a running firm with a history of what was asked of it.
@@ -44,6 +47,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.KeyLifetime > 0 {
+		f.Settings.Traffic.KeyLifetime = o.KeyLifetime
+	}
 	p, err := firm.Generate(o.Dir, f)
 	if err != nil {
 		return nil, err
@@ -77,6 +83,8 @@
 	Preset *settings.Preset
 	// Zones are those with callers; none means all.
 	Zones []string
+	// MaxDeadline shortens the deadlines when above 0.
+	MaxDeadline time.Duration
 	// Twice is the share of the operations sent through two entries at once.
 	Twice float64
 }
@@ -104,6 +112,9 @@
 		loads := caller.StandardLoads(t.Plan, o.Preset, zone, o.Shares)
 		for j := range loads {
 			loads[j].Twice = o.Twice
+			if o.MaxDeadline > 0 {
+				loads[j].Deadline = min(loads[j].Deadline, o.MaxDeadline)
+			}
 		}
 		seed := t.Seed<<20 ^ t.loads<<8 ^ uint64(i)
 		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, Stats: l.Stats})
