Let the record of a running mate not block its zone

Cause: a starting instance read its mate's record, which a running process has not marked clean, and blocked the zone's pools and grants for a lease and the longest dispatch timeout: 31 s for uploads in the first run of all processes. Change: the block for a run is lifted when that very run is heard; the run before it keeps the time. Grants are by pool, so that a doubt costs each service its own timeout and not the longest one. Ruled out: the lapse of grants by silence (heartbeats arrived all the time).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -18,9 +18,10 @@
 	Timing      settings.ControlSettings
 	// Initial is in force until a configuration is learned.
 	Initial *settings.Preset
-	// Unclean names the instances of the own zone, itself included, whose
-	// former run may still have requests in flight.
-	Unclean []string
+	// Unclean are the runs of the instances of the own zone, itself included,
+	// that did not stop cleanly as far as is known, and so may still have
+	// requests in flight. An Incarnation of 0 means any run.
+	Unclean []Identity
 	// Start is the time of the first tick.
 	Start time.Time
 }
@@ -50,6 +51,7 @@
 	members  []member
 	pools    []ownedPool
 	wards    []ward
+	unclean  map[Identity]bool
 	spread   spread
 	lastSent int64
 	load     map[int]PoolStatus
@@ -101,7 +103,7 @@
 		Presets: map[string]settings.Preset{p.Initial.Name: *p.Initial},
 	})
 	c.pools = newOwnedPools(ix)
-	c.wards = c.newWards(len(p.Unclean) > 0)
+	c.wards = c.newWards()
 	c.blockUnclean(p.Unclean)
 	return c
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -92,7 +92,7 @@
 	rng      *rand.Rand
 	versions map[string]int64
 	run      uint64
-	clean    map[string]bool
+	records  map[string][]uint64 // the last two runs by instance, none clean
 	events   []Event
 	sent     int
 }
@@ -109,12 +109,9 @@
 		cut:      func(string, string) bool { return false },
 		rng:      rand.New(rand.NewSource(seed)),
 		versions: map[string]int64{},
-		clean:    map[string]bool{},
+		records:  map[string][]uint64{},
 	}
 	f.now = f.start
-	for _, inst := range f.ix.instances {
-		f.clean[inst.Name] = true
-	}
 	for _, inst := range f.ix.instances {
 		f.boot(inst.Name)
 	}
@@ -125,14 +122,16 @@
 // platform's instance records.
 func (f *fleet) boot(name string) {
 	f.run++
-	var unclean []string
+	var unclean []Identity
 	zone := f.ix.zones[f.ix.instances[f.ix.byName[name]].zone]
 	for _, i := range zone.instances {
-		if mate := f.ix.instances[i].Name; !f.clean[mate] {
-			unclean = append(unclean, mate)
+		mate := f.ix.instances[i].Name
+		for _, run := range f.records[mate] {
+			unclean = append(unclean, Identity{Instance: mate, Incarnation: run})
 		}
 	}
-	f.clean[name] = false
+	f.records[name] = append(f.records[name], f.run)
+	f.records[name] = f.records[name][max(0, len(f.records[name])-2):]
 	f.nodes[name] = &node{
 		core: New(Params{
 			Self:        name,
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -24,9 +24,9 @@
 	sentAt int64
 	// ackedAt is the local time of our newest heartbeat that it echoed.
 	ackedAt time.Time
-	// grantedAt is the local time of our newest heartbeat that it answered
-	// with a grant.
-	grantedAt time.Time
+	// grantedAt is, by pool, the local time of our newest heartbeat that it
+	// answered with a grant.
+	grantedAt map[int]time.Time
 	// owned are the pools it dispatches to, by its newest heartbeat.
 	owned []int
 	// claimed are the pools it is about to own.
@@ -66,6 +66,9 @@
 	if m.state == Left {
 		return false
 	}
+	if !m.heard {
+		c.clearUnclean(from, incarnation)
+	}
 	if !m.heard || m.failed {
 		c.emit(Event{Kind: EventMemberUp, Instance: c.ix.instances[from].Name})
 		c.spread.touch(m)
@@ -195,8 +198,11 @@
 	if at.After(m.ackedAt) {
 		m.ackedAt = at
 	}
-	if h.Grant && at.After(m.grantedAt) {
-		m.grantedAt = at
+	if m.grantedAt == nil {
+		m.grantedAt = map[int]time.Time{}
+	}
+	for _, p := range h.Grants {
+		m.grantedAt[p] = later(m.grantedAt[p], at)
 	}
 }
 
@@ -235,7 +241,7 @@
 			EchoOf:        m.incarnation,
 			State:         c.state,
 			ConfigVersion: c.config.Version,
-			Grant:         c.grantTo(i),
+			Grants:        c.grantsTo(i),
 			Owned:         owned,
 			Claimed:       claimed,
 		}})
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -41,10 +41,10 @@
 	Echo          int64         `cbor:"2,keyasint,omitempty"`
 	State         InstanceState `cbor:"3,keyasint"`
 	ConfigVersion int64         `cbor:"4,keyasint"`
-	// Grant permits the receiver to use all slots of its zone's pools for one
-	// lease after Echo: the sender has not adopted them and will not before
-	// the grant has run out.
-	Grant bool `cbor:"5,keyasint,omitempty"`
+	// Grants lists the pools of the receiver's zone of which it may use all
+	// slots for one lease after Echo: the sender has not adopted them and will
+	// not before the grant has run out.
+	Grants []int `cbor:"5,keyasint,omitempty"`
 	// Owned lists the pools that the sender dispatches to, and adopted ones
 	// that it gave back with requests still in flight, as indexes into the
 	// pools of the topology in declared order.
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -73,20 +73,40 @@
 	return total
 }
 
-// blockUnclean blocks the pools of the own zone for the former runs of the
-// given instances, of which it is not known that they stopped cleanly.
-func (c *Core) blockUnclean(names []string) {
-	for _, name := range names {
-		i, declared := c.ix.byName[name]
+// blockUnclean blocks the pools of the own zone, and grants, for runs that may
+// still have requests in flight.
+func (c *Core) blockUnclean(runs []Identity) {
+	c.unclean = map[Identity]bool{}
+	for _, run := range runs {
+		i, declared := c.ix.byName[run.Instance]
 		if !declared {
 			continue
 		}
+		c.unclean[run] = true
 		for _, p := range c.ix.zones[c.zone].pools {
 			c.pools[p].block(i, c.start.Add(c.timing.Lease+c.dispatchTimeout(p)))
 		}
 	}
 }
 
+// clearUnclean lifts the block for a run that turns out to be the present one:
+// its heartbeats say what it owns. A second run of the instance keeps it.
+func (c *Core) clearUnclean(i int, incarnation uint64) {
+	run := Identity{Instance: c.ix.instances[i].Name, Incarnation: incarnation}
+	if !c.unclean[run] {
+		return
+	}
+	delete(c.unclean, run)
+	for other := range c.unclean {
+		if other.Instance == run.Instance {
+			return
+		}
+	}
+	for _, p := range c.ix.zones[c.zone].pools {
+		delete(c.pools[p].blocked, i)
+	}
+}
+
 // blockPoolsOf blocks the pools that an instance of the own zone, last heard
 // at the time given, may still be dispatching to. The instance notices its own
 // pause within a lease and bounds each dispatch by the dispatch timeout.
@@ -221,7 +241,7 @@
 	if !pool.owned || pool.adopted {
 		return
 	}
-	lapsed := !c.fullUntil().After(c.now)
+	lapsed := !c.fullUntil(p).After(c.now)
 	if lapsed == pool.lapsed {
 		return
 	}
@@ -300,18 +320,16 @@
 	return until
 }
 
-// fullUntil bounds the use of the reserved slots by the newest grant of the
-// adopting zone.
-func (c *Core) fullUntil() time.Time {
+// fullUntil bounds the use of the reserved slots of a pool by the newest grant
+// of the adopting zone.
+func (c *Core) fullUntil(p int) time.Time {
 	adopter := c.ix.zones[c.zone].adopter
 	if adopter < 0 || len(c.ix.zones[adopter].instances) == 0 {
 		return c.now.Add(c.timing.Lease)
 	}
 	var granted time.Time
 	for _, i := range c.ix.zones[adopter].instances {
-		if at := c.members[i].grantedAt; at.After(granted) {
-			granted = at
-		}
+		granted = later(granted, c.members[i].grantedAt[p])
 	}
 	if granted.IsZero() {
 		return time.Time{}
@@ -351,7 +369,7 @@
 // grants builds the rights for the snapshot.
 func (c *Core) grants() map[work.PoolID]Grant {
 	grants := map[work.PoolID]Grant{}
-	base, full := c.baseUntil(), c.fullUntil()
+	base := c.baseUntil()
 	for p := range c.pools {
 		pool := &c.pools[p]
 		if !pool.owned {
@@ -361,7 +379,7 @@
 		if pool.adopted {
 			g.BaseUntil = c.now.Add(MaxSnapshotAge)
 		} else {
-			g.FullUntil = full
+			g.FullUntil = c.fullUntil(p)
 		}
 		grants[c.ix.pools[p].id] = g
 	}
--- a/internal/control/wards.go
+++ b/internal/control/wards.go
@@ -13,9 +13,9 @@
 	holder bool
 	// since is when this instance became holder or last lost track of time.
 	since time.Time
-	// grantFrom is the earliest time of a grant: before it a former holder may
-	// have requests in flight on reserved slots.
-	grantFrom time.Time
+	// doubt is when it was last possible that a former holder dispatched to
+	// reserved slots. Until its dispatches have ended a pool is not granted.
+	doubt time.Time
 	// granted holds, by instance of the ward, when the heartbeat arrived that
 	// the last grant answered.
 	granted map[int]time.Time
@@ -23,31 +23,21 @@
 
 func adopterKey(zone string) string { return "adopter/" + zone }
 
-// newWards returns the zones that the own zone adopts. After a former run that
-// did not stop cleanly, grants wait until its dispatches have ended.
-func (c *Core) newWards(unclean bool) []ward {
+// newWards returns the zones that the own zone adopts.
+func (c *Core) newWards() []ward {
 	var wards []ward
 	for z := range c.ix.zones {
-		if c.ix.zones[z].adopter != c.zone {
-			continue
-		}
-		w := ward{zone: z, since: c.start, grantFrom: c.start, granted: map[int]time.Time{}}
-		if unclean {
-			w.grantFrom = c.start.Add(c.adoptionWait(z))
+		if c.ix.zones[z].adopter == c.zone {
+			wards = append(wards, ward{zone: z, since: c.start, granted: map[int]time.Time{}})
 		}
-		wards = append(wards, w)
 	}
 	return wards
 }
 
 // adoptionWait is the longest time for which a right to the reserved slots of
-// a zone, or a dispatch made under it, can outlast its last renewal.
-func (c *Core) adoptionWait(zone int) time.Duration {
-	longest := time.Duration(0)
-	for _, p := range c.ix.zones[zone].pools {
-		longest = max(longest, c.dispatchTimeout(p))
-	}
-	return c.timing.Lease + longest
+// a pool, or a dispatch made under it, can outlast its last renewal.
+func (c *Core) adoptionWait(p int) time.Duration {
+	return c.timing.Lease + c.dispatchTimeout(p)
 }
 
 // resetWards forgets what was known before a pause.
@@ -79,12 +69,12 @@
 	name := c.ix.zones[w.zone].name
 	holder := c.state == Serving && c.ix.best(adopterKey(name), candidates) == c.self
 	if c.othersAdopted(w) {
-		w.grantFrom = later(w.grantFrom, c.now.Add(c.adoptionWait(w.zone)))
+		w.doubt = c.now
 	}
 	if holder && !w.holder {
 		w.since = c.now
 		if c.mateFailed() {
-			w.grantFrom = later(w.grantFrom, c.now.Add(c.adoptionWait(w.zone)))
+			w.doubt = c.now
 		}
 	}
 	w.holder = holder
@@ -121,39 +111,49 @@
 	})
 }
 
-// grantTo reports whether the heartbeat to the instance carries a grant, and
-// notes it. The grant lasts one lease from the sending of the heartbeat that
-// it echoes, which is no later than the time the instance was last heard.
-func (c *Core) grantTo(i int) bool {
+// grantsTo returns the pools that the heartbeat to the instance grants, and
+// notes them. A grant lasts one lease from the sending of the heartbeat that it
+// echoes, which is no later than the time the instance was last heard.
+func (c *Core) grantsTo(i int) []int {
 	if !c.members[i].heard || c.members[i].failed {
-		return false
+		return nil
 	}
 	for n := range c.wards {
 		w := &c.wards[n]
 		if w.zone != c.ix.instances[i].zone {
 			continue
 		}
-		if !c.mayGrant(w) {
-			return false
+		grants := c.grantable(w)
+		if len(grants) > 0 {
+			w.granted[i] = c.members[i].heardAt
 		}
-		w.granted[i] = c.members[i].heardAt
-		return true
+		return grants
 	}
-	return false
+	return nil
 }
 
-// mayGrant protects the invariant that reserved slots are never used by the
-// ward and by its adopter at the same time.
-func (c *Core) mayGrant(w *ward) bool {
-	if !w.holder || c.now.Before(w.grantFrom) || c.othersAdopted(w) {
-		return false
+// grantable protects the invariant that the reserved slots of a pool are never
+// used by the ward and by its adopter at the same time.
+func (c *Core) grantable(w *ward) []int {
+	if !w.holder || c.othersAdopted(w) {
+		return nil
 	}
+	var grants []int
 	for _, p := range c.ix.zones[w.zone].pools {
-		if c.pools[p].owned || c.inFlight(p) {
-			return false
+		if !c.pools[p].owned && !c.inFlight(p) && !c.doubtful(w, p) {
+			grants = append(grants, p)
 		}
 	}
-	return true
+	return grants
+}
+
+// doubtful reports whether a former holder, or a former run of an instance of
+// this zone, may still have requests in flight at the pool.
+func (c *Core) doubtful(w *ward, p int) bool {
+	if !w.doubt.IsZero() && c.now.Before(w.doubt.Add(c.adoptionWait(p))) {
+		return true
+	}
+	return len(c.unclean) > 0 && c.now.Before(c.start.Add(c.adoptionWait(p)))
 }
 
 // adoptPools takes the pools of a silent ward whose last grants, and the
@@ -164,7 +164,7 @@
 		if c.pools[p].owned {
 			continue
 		}
-		wait := c.timing.Lease + c.dispatchTimeout(p)
+		wait := c.adoptionWait(p)
 		if !left && c.now.Before(w.since.Add(wait)) {
 			continue
 		}
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -97,11 +97,12 @@
 	}
 }
 
-// Last returns the last run of an instance, which is zero when there was none.
-func Last(ctx context.Context, client platform.Client, name string) (Run, error) {
+// Runs returns the last run of an instance and the one before it, which are
+// zero when there was none.
+func Runs(ctx context.Context, client platform.Client, name string) (last, former Run, err error) {
 	u := &updater{client: client, name: name}
 	r, err := u.read(ctx)
-	return r.Last, err
+	return r.Last, r.Former, err
 }
 
 // updater reads and writes one record until it succeeds.
