--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -147,9 +147,6 @@
 	if err := decode(payload, &msg); err != nil {
 		return err
 	}
-	if parts(msg) != 1 {
-		return errMalformed.New("control message with %d parts", parts(msg))
-	}
 	if msg.From != c.remote.name {
 		err := Error.New("message claims to come from %q", msg.From)
 		c.node.report(Event{Kind: SenderRefused, Peer: c.remote.name, Address: c.address(), Err: err})
@@ -160,19 +157,6 @@
 	return nil
 }
 
-// parts counts the parts that are set, of which there must be exactly one.
-func parts(msg control.Message) int {
-	count := 0
-	for _, set := range []bool{
-		msg.Heartbeat != nil, msg.Ack != nil, msg.Digest != nil, msg.Config != nil, msg.Release != nil,
-	} {
-		if set {
-			count++
-		}
-	}
-	return count
-}
-
 // acceptControl takes the control messages that come on streams.
 func (c *conn) acceptControl() {
 	for {
