Run an entry instance from start to planned stop

The daemon is built out of its parts: settings, keys, platform, control loop, peer transport, pool owner, router, idempotency keys, metrics, the servers of callers and operators. A planned stop announces itself, serves until cached lists have expired, hands over its keys, finishes what is in flight, gives up its pools and records that it left.

--- a/cmd/sycamoreledge/entry.go
+++ b/cmd/sycamoreledge/entry.go
@@ -7,7 +7,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/zeebo/errs"
+	"sycamoreledge.example/internal/entry"
 )
 
 // version is set by the linker for releases.
@@ -23,12 +23,7 @@
 	ctx, restore := signal.NotifyContext(env.ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer restore()
 	context.AfterFunc(ctx, restore)
-	return runEntry(ctx, c.Settings)
-}
-
-// runEntry is the daemon.
-func runEntry(context.Context, string) error {
-	return errs.New("this build holds no daemon")
+	return entry.Run(ctx, c.Settings)
 }
 
 type versionCommand struct{}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,7 @@
 	began    time.Time
 	self     settings.Instance
 	identity control.Identity
-	unclean  []string
+	unclean  []control.Identity
 
 	platform  platform.Client
 	presets   *presets.Store
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -36,25 +36,33 @@
 	former, incarnation, err := instances.Start(ctx, e.platform, e.self.Name, e.identity.Incarnation)
 	if err != nil {
 		e.events.Log(event.PlatformAbsent, "address", e.bundle.Settings.Platform.Address, "error", err)
-		e.unclean = e.zoneInstances()
+		for _, name := range e.zoneInstances() {
+			e.unclean = append(e.unclean, control.Identity{Instance: name})
+		}
 		return
 	}
 	e.identity.Incarnation = incarnation
-	if isUnclean(former) {
-		e.unclean = append(e.unclean, e.self.Name)
-	}
+	e.noteUnclean(e.self.Name, former)
 	for _, mate := range e.zoneInstances() {
 		if mate == e.self.Name {
 			continue
 		}
-		last, err := instances.Last(ctx, e.platform, mate)
-		if err != nil || isUnclean(last) {
-			e.unclean = append(e.unclean, mate)
+		last, former, err := instances.Runs(ctx, e.platform, mate)
+		if err != nil {
+			e.unclean = append(e.unclean, control.Identity{Instance: mate})
+			continue
 		}
+		e.noteUnclean(mate, last)
+		e.noteUnclean(mate, former)
 	}
 }
 
-func isUnclean(run instances.Run) bool { return run.Incarnation > 0 && !run.Clean }
+// noteUnclean remembers a run that is not known to have stopped cleanly.
+func (e *entry) noteUnclean(name string, run instances.Run) {
+	if run.Incarnation > 0 && !run.Clean {
+		e.unclean = append(e.unclean, control.Identity{Instance: name, Incarnation: run.Incarnation})
+	}
+}
 
 // zoneInstances returns the declared instances of the own zone.
 func (e *entry) zoneInstances() []string {
@@ -77,25 +85,17 @@
 	watcher := &presets.Watcher{Client: e.platform, OnConfig: e.learned}
 	ticker := time.NewTicker(watcherCheck)
 	defer ticker.Stop()
-	var stop context.CancelFunc
-	defer func() {
-		if stop != nil {
-			stop()
-		}
-	}()
+	stop := func() {}
+	defer func() { stop() }()
+	watches := false
 	for {
 		s := e.loop.Snapshot()
 		watcher.Observe(s.Config.Version)
 		e.presets.Observe(s.Config.Version)
-		switch {
-		case s.Watcher && stop == nil:
-			var watching context.Context
-			watching, stop = context.WithCancel(ctx)
-			go watcher.Run(watching)
-			go e.followList(watching)
-		case !s.Watcher && stop != nil:
+		if s.Watcher != watches {
+			watches = s.Watcher
 			stop()
-			stop = nil
+			stop = e.follow(ctx, watches, watcher)
 		}
 		select {
 		case <-ctx.Done():
@@ -105,6 +105,17 @@
 	}
 }
 
+// follow starts what a watcher does and returns how to end it.
+func (e *entry) follow(ctx context.Context, watches bool, watcher *presets.Watcher) context.CancelFunc {
+	if !watches {
+		return func() {}
+	}
+	watching, stop := context.WithCancel(ctx)
+	go watcher.Run(watching)
+	go e.followList(watching)
+	return stop
+}
+
 // learned takes a configuration that the platform accepted. One that does not
 // fit the topology of this instance is not put into force.
 func (e *entry) learned(cfg *settings.Config) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -176,7 +176,7 @@
 func (e *entry) registerLater(ctx context.Context) {
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, registerTimeout)
-		last, err := instances.Last(bounded, e.platform, e.identity.Instance)
+		last, _, err := instances.Runs(bounded, e.platform, e.identity.Instance)
 		if err == nil && last.Incarnation < e.identity.Incarnation {
 			_, _, err = instances.Start(bounded, e.platform, e.identity.Instance, e.identity.Incarnation)
 		}
