Choose an upstream in linear time

Cause: for each upstream the choice sorted the durations of all others. Change: the limit above which an upstream counts as slow is computed once per choice, from the median of all, and without sorting when the slowest is within the factor of the fastest.

--- a/internal/traffic/owner/choose.go
+++ b/internal/traffic/owner/choose.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -38,12 +39,13 @@
 func (p *pool) choose(may permit, except *row, queued int) *row {
 	var best, slow *row
 	var bestScore, slowScore float64
+	limit := p.slowLimit(may)
 	for _, r := range p.rows {
 		if r == except || r.free(may) == 0 {
 			continue
 		}
 		score := p.score(r, may)
-		if p.slow(r, may) {
+		if r.expected(may.now) > limit {
 			if slow == nil || score < slowScore {
 				slow, slowScore = r, score
 			}
@@ -60,7 +62,7 @@
 	if best != nil || slow == nil {
 		return best
 	}
-	if p.betterToWait(may, slow, queued) {
+	if p.betterToWait(may, slow, queued, limit) {
 		return nil
 	}
 	return slow
@@ -76,36 +78,42 @@
 	return float64(d) * (1 + loadWeight*load)
 }
 
-// slow reports whether the upstream is clearly slower than the others.
-func (p *pool) slow(r *row, may permit) bool {
+// slowLimit is the expected duration above which an upstream counts as slow: a
+// multiple of the median of all.
+func (p *pool) slowLimit(may permit) time.Duration {
 	if p.kind == work.Upload {
-		return false
+		return math.MaxInt64
 	}
-	var others []time.Duration
-	for _, o := range p.rows {
-		if o != r && o.allowed(may) > 0 && o.service.count > 0 {
-			others = append(others, o.expected(may.now))
+	expected := p.scratch[:0]
+	for _, r := range p.rows {
+		if r.service.count > 0 && r.allowed(may) > 0 {
+			expected = append(expected, r.expected(may.now))
 		}
 	}
-	if len(others) == 0 {
-		return false
+	p.scratch = expected
+	if len(expected) == 0 {
+		return math.MaxInt64
+	}
+	fastest, slowest := slices.Min(expected), slices.Max(expected)
+	if slowest <= slowFactor*fastest {
+		return slowest // none is slow, whatever the median
 	}
-	slices.Sort(others)
-	return r.expected(may.now) > slowFactor*others[(len(others)-1)/2]
+	slices.Sort(expected)
+	return slowFactor * expected[(len(expected)-1)/2]
 }
 
 // betterToWait compares the wait for an upstream that is not slow with the
 // duration at a slow one.
-func (p *pool) betterToWait(may permit, slow *row, queued int) bool {
+func (p *pool) betterToWait(may permit, slow *row, queued int, limit time.Duration) bool {
 	slots := 0
 	var fastest time.Duration
 	for _, r := range p.rows {
-		n := r.allowed(may)
-		if n == 0 || p.slow(r, may) {
+		n, d := r.allowed(may), r.expected(may.now)
+		if n == 0 || d > limit {
 			continue
 		}
 		slots += n
-		if d := r.expected(may.now); fastest == 0 || d < fastest {
+		if fastest == 0 || d < fastest {
 			fastest = d
 		}
 	}
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -24,6 +24,7 @@
 	service estimate   // of all upstreams together
 	retries budget
 	hedges  budget
+	scratch []time.Duration // for slowLimit
 }
 
 // cachedPolicy is the policy of the pool's service in one preset.
