--- a/internal/api/operators_test.go
+++ b/internal/api/operators_test.go
@@ -123,11 +123,15 @@
 }
 
 // expectCode checks that the error is an instance's with the status and code.
-func (b *operatorsBench) expectCode(err error, status int, code string) *client.APIError {
-	var answer *client.APIError
-	b.Expect(errors.As(err, &answer)).To(gomega.BeTrue(), "%v", err)
+func (b *operatorsBench) expectCode(err error, status int, code string) {
+	answer := b.apiError(err)
 	b.Expect(answer.Status).To(gomega.Equal(status), "%v", err)
 	b.Expect(answer.Answer.Code).To(gomega.Equal(code))
+}
+
+func (b *operatorsBench) apiError(err error) *client.APIError {
+	var answer *client.APIError
+	b.Expect(errors.As(err, &answer)).To(gomega.BeTrue(), "%v", err)
 	return answer
 }
 
@@ -234,12 +238,13 @@
 				o.Presets.(*presets.Store).Timeout = 200 * time.Millisecond
 			})
 			b.memory.SetFaults(tc.faults)
-			answer := b.expectCode(tc.change(b.client(operatorToken)), tc.status, tc.code)
+			err := tc.change(b.client(operatorToken))
+			b.expectCode(err, tc.status, tc.code)
 			if tc.event != 0 {
 				b.Expect(b.events.Count(tc.event)).To(gomega.BeEquivalentTo(1))
 			}
 			if tc.status == http.StatusConflict {
-				conflict, ok := answer.Conflict()
+				conflict, ok := b.apiError(err).Conflict()
 				b.Expect(ok).To(gomega.BeTrue())
 				b.Expect(conflict.Won[len(conflict.Won)-1].Operation).To(gomega.Equal("second"))
 			}
