Keep a pool with its owner until the next one claims it

Cause: an owner released its pools to a restarted mate that could not take them yet (its former run's dispatches were still bounded by 30 s for uploads), so that the zone served nothing meanwhile; and a planned stop was not recorded as clean because a running mate's record counts as unclean. Change: the owner releases on the claim of the next one. A stop is clean once all former runs are accounted for.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -182,6 +182,16 @@
 	c.messages = append(c.messages, Outbound{To: c.ix.instances[to].Name, Msg: msg})
 }
 
+// Settled reports whether all runs that were not known to have stopped cleanly
+// at the start are by now accounted for.
+func (c *Core) Settled() bool {
+	longest := time.Duration(0)
+	for _, timeout := range c.spread.longest {
+		longest = max(longest, timeout)
+	}
+	return len(c.unclean) == 0 || c.now.After(c.start.Add(c.timing.Lease+longest))
+}
+
 // owns reports whether this instance may take part in ownership.
 func (c *Core) owns() bool {
 	return !c.retired && (c.state == Serving || c.state == Leaving)
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -85,6 +85,28 @@
 	}
 }
 
+// TestPoolKeepsItsOwnerUntilTheNextCanTakeIt replaces an instance that did not
+// stop cleanly: its mate serves until the old dispatches have ended.
+func TestPoolKeepsItsOwnerUntilTheNextCanTakeIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 1, 1)
+	f.steps(5 * time.Second)
+	first := f.owners("r0z0")[0]
+	f.kill(first)
+	f.steps(6 * time.Second)
+	f.boot(first)
+	unowned := 0
+	for range int(6 * time.Second / testTick) {
+		f.step()
+		if !f.owned("r0z0") {
+			unowned++
+		}
+	}
+	f.steps(testTimeout)
+	g.Expect(f.owners("r0z0")).To(gomega.Equal([]string{first}))
+	g.Expect(time.Duration(unowned) * testTick).To(gomega.BeNumerically("<=", testTimeout/2))
+}
+
 // TestFaultsInPairs runs each pair of faults, in both orders and twice the
 // same, and checks the invariants all the while.
 func TestFaultsInPairs(t *testing.T) {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -304,6 +304,20 @@
 	return owners
 }
 
+// owned reports whether a running node owns the pool, even while a former
+// owner's requests occupy its slots.
+func (f *fleet) owned(zone string) bool {
+	for _, n := range f.nodes {
+		if n.down || n.paused || n.snapshot == nil {
+			continue
+		}
+		if _, owned := n.snapshot.Owned[work.PoolID{Service: "orders", Zone: zone}]; owned {
+			return true
+		}
+	}
+	return false
+}
+
 // slotsIn returns how many slots all running nodes together may use.
 func (f *fleet) slotsIn(zone string) int {
 	id := work.PoolID{Service: "orders", Zone: zone}
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -153,7 +153,10 @@
 		winner := c.ix.best("pool/"+c.ix.pools[p].id.String(), candidates)
 		switch {
 		case c.pools[p].owned && winner >= 0 && winner != c.self:
-			c.release(p)
+			// The pool keeps its owner until the next one is able to take it.
+			if slices.Contains(c.members[winner].claimed, p) {
+				c.release(p)
+			}
 		case !c.pools[p].owned && winner == c.self:
 			c.acquire(p)
 		default:
@@ -163,13 +166,14 @@
 	}
 }
 
-// acquire takes a pool in two steps: the claim is announced, and the pool is
-// owned once every live instance of the zone has acknowledged the claim without
-// owning the pool or having a better claim. Two instances whose views differ
+// acquire takes a pool in two steps: the claim is announced, upon which a
+// present owner releases the pool, and the pool is owned once every live
+// instance of the zone has acknowledged the claim without owning the pool or
+// having a better claim. Two instances whose views differ
 // for a moment therefore never both own it.
 func (c *Core) acquire(p int) {
 	pool := &c.pools[p]
-	if c.ownedByOther(p, c.self) || pool.isBlocked(c.now) || c.betterClaim(p) {
+	if pool.isBlocked(c.now) || c.betterClaim(p) {
 		pool.claimedAt = time.Time{}
 		return
 	}
@@ -177,7 +181,7 @@
 		pool.claimedAt = c.now
 		c.spread.nextHeartbeat = time.Time{}
 	}
-	if !c.claimConfirmed(p) {
+	if c.ownedByOther(p, c.self) || !c.claimConfirmed(p) {
 		return
 	}
 	pool.owned = true
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -162,7 +162,9 @@
 // recordStop marks this run as clean, unless a former run that was not may
 // still have requests in flight.
 func (e *entry) recordStop(ctx context.Context) {
-	if len(e.unclean) > 0 && time.Since(e.began) < e.bundle.Settings.Control.Lease+e.longestDeadline() {
+	settled := false
+	e.loop.Do(func(c *control.Core) { settled = c.Settled() })
+	if !settled {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
