Rank entry instances for callers and map their blocks to zones

Callers ask which instances to use. Package locate maps an address to a zone by longest prefix match and orders the instances for that zone: own zone, own region, other regions by latency over the links, drained zones last, equals spread by a rendezvous hash of the address. Dead, leaving and joining instances are left out.

The table is immutable.

The table is checked against a plain search over random nested blocks.

--- /dev/null
+++ b/internal/locate/bench_test.go
@@ -0,0 +1,167 @@
+package locate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/locate"
+	"sycamoreledge.example/internal/settings"
+)
+
+// benchBlocks is the number of /24 blocks, and benchZones that of zones.
+const (
+	benchBlocks = 2_000_000
+	benchZones  = 79
+)
+
+// blocks24 returns distinct /24 blocks spread over the unicast addresses.
+func blocks24(count int) []locate.Change {
+	const first, last = 1 << 16, 224 << 16 // in /24 blocks
+	r := rand.New(rand.NewPCG(1, 1))
+	step := (last - first) / count
+	changes := make([]locate.Change, count)
+	for i := range changes {
+		n := uint32(first + i*step + r.IntN(step))
+		addr := netip.AddrFrom4([4]byte{byte(n >> 16), byte(n >> 8), byte(n), 0})
+		changes[i] = locate.Change{Prefix: netip.PrefixFrom(addr, 24), Zone: fmt.Sprint("zone-", r.IntN(benchZones))}
+	}
+	return changes
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func benchTable(b *testing.B) (*locate.Table, []locate.Change) {
+	b.Helper()
+	changes := blocks24(benchBlocks)
+	table, err := locate.NewTable(changes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return table, changes
+}
+
+func BenchmarkBuild(b *testing.B) {
+	changes := blocks24(benchBlocks)
+	before := heapBytes()
+	var table *locate.Table
+	for b.Loop() {
+		var err error
+		if table, err = locate.NewTable(changes); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
+	runtime.KeepAlive(changes)
+	runtime.KeepAlive(table)
+}
+
+func BenchmarkDelta(b *testing.B) {
+	table, changes := benchTable(b)
+	for _, size := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.ReportAllocs()
+			r := rand.New(rand.NewPCG(2, 2))
+			delta := make([]locate.Change, size)
+			for b.Loop() {
+				for i := range delta {
+					delta[i] = locate.Change{Prefix: changes[r.IntN(len(changes))].Prefix, Zone: "zone-1"}
+				}
+				if _, err := table.Apply(delta); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	table, changes := benchTable(b)
+	addrs := make([]netip.Addr, 1<<16)
+	r := rand.New(rand.NewPCG(3, 3))
+	for i := range addrs {
+		addrs[i] = changes[r.IntN(len(changes))].Prefix.Addr().Next()
+	}
+	i := 0
+	for b.Loop() {
+		if _, ok := table.Zone(addrs[i&(len(addrs)-1)]); !ok {
+			b.Fatal("address not found")
+		}
+		i++
+	}
+}
+
+// wideTopology has the given number of zones, three in a region, in a ring of
+// regions.
+func wideTopology(zones int) *settings.Topology {
+	t := &settings.Topology{Blocks: []settings.Block{{Prefix: "10.1.0.0/16", Zone: "zone-0"}}}
+	for i := range zones {
+		if i%3 == 0 {
+			t.Regions = append(t.Regions, settings.Region{Name: fmt.Sprint("region-", i/3)})
+		}
+		region := &t.Regions[i/3]
+		region.Zones = append(region.Zones, settings.Zone{Name: fmt.Sprint("zone-", i)})
+	}
+	for i := range t.Regions {
+		next := t.Regions[(i+1)%len(t.Regions)].Name
+		t.Links = append(t.Links, settings.Link{Between: []string{t.Regions[i].Name, next}, Latency: 20})
+	}
+	return t
+}
+
+func wideSnapshot(members, zones int) *control.Snapshot {
+	s := &control.Snapshot{Zone: "zone-0"}
+	for i := range members {
+		s.Entries = append(s.Entries, control.EntryView{
+			Name: fmt.Sprint("e", i), Zone: fmt.Sprint("zone-", i%zones), Alive: true, State: control.Serving,
+		})
+	}
+	return s
+}
+
+// rankSizes are numbers of instances and zones.
+var rankSizes = []struct{ members, zones int }{{8, 6}, {2400, benchZones}}
+
+func BenchmarkRank(b *testing.B) {
+	for _, size := range rankSizes {
+		b.Run(fmt.Sprint(size.members), func(b *testing.B) {
+			ranker, s := newWideRanker(b, size.zones), wideSnapshot(size.members, size.zones)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				ranker.Rank(s, netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}))
+			}
+		})
+	}
+}
+
+// BenchmarkNewSnapshot measures the first ranking after a change.
+func BenchmarkNewSnapshot(b *testing.B) {
+	for _, size := range rankSizes {
+		b.Run(fmt.Sprint(size.members), func(b *testing.B) {
+			ranker, s := newWideRanker(b, size.zones), wideSnapshot(size.members, size.zones)
+			client := netip.MustParseAddr("10.1.2.3")
+			b.ReportAllocs()
+			for b.Loop() {
+				fresh := *s
+				ranker.Rank(&fresh, client)
+			}
+		})
+	}
+}
+
+func newWideRanker(b *testing.B, zones int) *locate.Ranker {
+	b.Helper()
+	table, err := locate.FromTopology(wideTopology(zones))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return locate.NewRanker(wideTopology(zones), table)
+}
--- /dev/null
+++ b/internal/locate/table_test.go
@@ -0,0 +1,161 @@
+package locate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/locate"
+	"sycamoreledge.example/internal/settings"
+)
+
+func change(prefix, zone string) locate.Change {
+	return locate.Change{Prefix: netip.MustParsePrefix(prefix), Zone: zone}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, err := locate.NewTable([]locate.Change{
+		change("0.0.0.0/0", "default"),
+		change("10.0.0.0/8", "eight"),
+		change("10.1.0.0/16", "sixteen"),
+		change("10.1.0.0/24", "twentyfour"),
+		change("10.1.0.0/28", "twentyeight"),
+		change("10.1.9.0/24", "nine"),
+		change("10.1.9.7/32", "host"),
+		change("2001:db8::/32", "six"),
+		change("2001:db8:1::/48", "longsix"),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(table.Len()).To(gomega.Equal(9))
+	cases := map[string]string{
+		"11.0.0.1":         "default",
+		"10.2.0.1":         "eight",
+		"10.1.5.5":         "sixteen",
+		"10.1.0.200":       "twentyfour",
+		"10.1.0.15":        "twentyeight",
+		"10.1.0.16":        "twentyfour",
+		"10.1.1.0":         "sixteen",
+		"10.1.9.6":         "nine",
+		"10.1.9.7":         "host",
+		"10.1.9.8":         "nine",
+		"10.1.255.255":     "sixteen",
+		"::ffff:10.1.9.7":  "host",
+		"2001:db8:2::1":    "six",
+		"2001:db8:1:2::3":  "longsix",
+		"2001:db9::1":      "",
+		"fe80::1%loopback": "",
+	}
+	for addr, want := range cases {
+		zone, ok := table.Zone(netip.MustParseAddr(addr))
+		g.Expect(zone).To(gomega.Equal(want), addr)
+		g.Expect(ok).To(gomega.Equal(want != ""), addr)
+	}
+	_, ok := table.Zone(netip.Addr{})
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+func TestInvalidBlocksAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := locate.NewTable([]locate.Change{{Zone: "z"}})
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("invalid address block")))
+	_, err = locate.NewTable([]locate.Change{change("::ffff:10.0.0.0/90", "z")})
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("mixes IPv4 and IPv6")))
+	_, err = locate.FromTopology(&settings.Topology{Blocks: []settings.Block{{Prefix: "x", Zone: "z"}}})
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+// model is a table by plain search over all blocks.
+type model map[netip.Prefix]string
+
+func (m model) zone(addr netip.Addr) (string, bool) {
+	best, zone, ok := -1, "", false
+	for prefix, z := range m {
+		if prefix.Contains(addr) && prefix.Bits() > best {
+			best, zone, ok = prefix.Bits(), z, true
+		}
+	}
+	return zone, ok
+}
+
+// randomPrefix stays in a few /16 so that blocks nest and meet.
+func randomPrefix(r *rand.Rand) netip.Prefix {
+	addr := netip.AddrFrom4([4]byte{10, byte(r.IntN(3)), byte(r.IntN(4)), byte(r.IntN(256))})
+	prefix, err := addr.Prefix(6 + r.IntN(27))
+	if err != nil {
+		panic(err)
+	}
+	return prefix
+}
+
+func TestTableAgreesWithPlainSearch(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := rand.New(rand.NewPCG(seed, 0))
+			expected := model{}
+			table, err := locate.NewTable(nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for range 60 {
+				var changes []locate.Change
+				for range 1 + r.IntN(20) {
+					c := locate.Change{Prefix: randomPrefix(r), Zone: fmt.Sprint("z", r.IntN(6))}
+					if r.IntN(3) == 0 {
+						c.Zone = ""
+					}
+					changes = append(changes, c)
+					delete(expected, c.Prefix)
+					if c.Zone != "" {
+						expected[c.Prefix] = c.Zone
+					}
+				}
+				table, err = table.Apply(changes)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				expectAgreement(t, r, table, expected)
+			}
+		})
+	}
+}
+
+func expectAgreement(t *testing.T, r *rand.Rand, table *locate.Table, expected model) {
+	t.Helper()
+	if table.Len() != len(expected) {
+		t.Fatalf("table has %d blocks, want %d", table.Len(), len(expected))
+	}
+	for range 200 {
+		addr := netip.AddrFrom4([4]byte{10, byte(r.IntN(4)), byte(r.IntN(5)), byte(r.IntN(256))})
+		zone, ok := table.Zone(addr)
+		wantZone, wantOK := expected.zone(addr)
+		if zone != wantZone || ok != wantOK {
+			t.Fatalf("%s: got %q %v, want %q %v", addr, zone, ok, wantZone, wantOK)
+		}
+	}
+}
+
+func TestOlderVersionsStayAsTheyWere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, err := locate.NewTable([]locate.Change{change("10.0.0.0/24", "a"), change("2001:db8::/32", "a")})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	second, err := first.Apply([]locate.Change{
+		change("10.0.0.0/24", "b"), change("10.0.1.0/24", "b"), change("2001:db8::/32", "b"),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	third, err := second.Apply([]locate.Change{change("10.0.0.0/24", ""), change("10.0.1.0/24", "c")})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	zones := func(table *locate.Table) []string {
+		var all []string
+		for _, addr := range []string{"10.0.0.1", "10.0.1.1", "2001:db8::1"} {
+			zone, _ := table.Zone(netip.MustParseAddr(addr))
+			all = append(all, zone)
+		}
+		return all
+	}
+	g.Expect(zones(first)).To(gomega.Equal([]string{"a", "", "a"}))
+	g.Expect(zones(second)).To(gomega.Equal([]string{"b", "b", "b"}))
+	g.Expect(zones(third)).To(gomega.Equal([]string{"", "c", "b"}))
+	g.Expect([]int{first.Len(), second.Len(), third.Len()}).To(gomega.Equal([]int{2, 3, 2}))
+}
