--- a/cmd/lab/links.go
+++ b/cmd/lab/links.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	defer links.Close()
+	defer func() { _ = links.Close() }()
 	ln, err := net.Listen("tcp", p.LinkAdmin)
 	if err != nil {
 		return err
@@ -31,7 +31,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/lab/links", links)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(ln); err != http.ErrServerClosed {
 		return err
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -205,7 +205,7 @@
 // close ends what is open, after a failed start as after a stop.
 func (e *entry) close() {
 	if e.node != nil {
-		e.node.Close()
+		_ = e.node.Close()
 	}
 	if e.upstreams != nil {
 		e.upstreams.Close()
--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -42,7 +42,7 @@
 // connectTCP holds the first bytes for a round trip, which the handshake of a
 // connection over the link would take.
 func connectTCP(near *net.TCPConn, target string, there, back *pipe) {
-	defer near.Close()
+	defer func() { _ = near.Close() }()
 	holdWhileCut(there)
 	conn, err := net.Dial("tcp", target)
 	if err != nil {
@@ -50,7 +50,7 @@
 		return
 	}
 	far := conn.(*net.TCPConn)
-	defer far.Close()
+	defer func() { _ = far.Close() }()
 	handshake := there.latency() + back.latency()
 	var both sync.WaitGroup
 	both.Go(func() { carry(near, far, there, handshake) })
@@ -166,7 +166,7 @@
 func (s *session) receive(near net.PacketConn, client net.Addr, back *pipe) {
 	way := make(chan parcel, datagramsInFlight)
 	defer close(way)
-	defer s.far.Close()
+	defer func() { _ = s.far.Close() }()
 	go sendAll(way, back, func(data []byte) { near.WriteTo(data, client) }) //nolint:errcheck // likewise
 	for {
 		s.far.SetReadDeadline(time.Now().Add(sessionIdle)) //nolint:errcheck // an open socket takes it
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
+	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -32,7 +32,7 @@
 			}
 			go func() {
 				io.Copy(conn, conn) //nolint:errcheck // ends with the connection
-				conn.Close()
+				_ = conn.Close()
 			}()
 		}
 	}()
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	go func() {
 		buf := make([]byte, 2048)
 		for {
@@ -66,14 +66,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		return conn.LocalAddr().String()
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
 }
 
@@ -88,12 +88,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { links.Close() })
+	t.Cleanup(func() { _ = links.Close() })
 	conn, err := net.Dial(network, f.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	return links, conn
 }
 
