Store the presets at the start of a trial and save the operations

The platform starts empty and an instance knows its initial preset alone, so that the first switch of the demo was refused: there was no preset peak. A trial now stores all presets; the demo shows the command that does it. The operations of the callers are kept beside the logs, for the search after the cause of an unknown outcome.

--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -83,7 +83,8 @@
 		return Error.New("interrupted")
 	}
 	d.say("callers stop; waiting for the operations under way")
-	d.load.Stop()
+	ops := d.load.Stop()
+	d.fail(d.Save("operations.jsonl", ops))
 	violations, err := d.Judge(ctx)
 	if err != nil {
 		return err
--- a/internal/lab/demo/live.go
+++ b/internal/lab/demo/live.go
@@ -18,7 +18,9 @@
 	for {
 		select {
 		case <-tick.C:
-			d.say("%s", d.figures(ctx))
+			if line := d.figures(ctx); ctx.Err() == nil {
+				d.say("%s", line)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/lab/demo/steps.go
+++ b/internal/lab/demo/steps.go
@@ -50,6 +50,9 @@
 
 // switchPreset puts another preset in force.
 func (d *demo) switchPreset(ctx context.Context) error {
+	if err := d.operate(ctx, "preset", "apply", "-f", d.Plan.PresetFile("peak")); err != nil {
+		return err
+	}
 	begin := time.Now()
 	if err := d.operate(ctx, "preset", "use", "peak", "--wait", "--wait-limit", inForceLimit.String()); err != nil {
 		return err
--- a/internal/lab/firm/generate.go
+++ b/internal/lab/firm/generate.go
@@ -137,8 +137,7 @@
 		return err
 	}
 	for i := range f.Presets {
-		file := filepath.Join(p.Dir, presetsDir, f.Presets[i].Name+".yaml")
-		if err := writeYAML(file, &f.Presets[i]); err != nil {
+		if err := writeYAML(p.PresetFile(f.Presets[i].Name), &f.Presets[i]); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/firm/plan.go
+++ b/internal/lab/firm/plan.go
@@ -82,6 +82,11 @@
 	return Error.Wrap(os.WriteFile(filepath.Join(p.Dir, planFile), data, filePerm))
 }
 
+// PresetFile returns the path of a preset's file.
+func (p *Plan) PresetFile(name string) string {
+	return filepath.Join(p.Dir, presetsDir, name+".yaml")
+}
+
 // Preset returns the preset with the name, or nil.
 func (p *Plan) Preset(name string) *settings.Preset {
 	for i := range p.Presets {
--- a/internal/lab/promises/special.go
+++ b/internal/lab/promises/special.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -184,12 +183,27 @@
 	return fault{
 		name:   "platform absent at start",
 		begin:  func(context.Context, *env) error { return nil },
-		end:    func(ctx context.Context, e *env) error { return e.Cluster.StartPlatform(ctx) },
+		end:    startPlatform,
 		hurts:  nobody,
 		silent: true,
 	}
 }
 
+// startPlatform starts the platform and stores the presets as soon as an
+// entry accepts them.
+func startPlatform(ctx context.Context, e *env) error {
+	if err := e.Cluster.StartPlatform(ctx); err != nil {
+		return err
+	}
+	for {
+		err := e.ApplyPresets(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, sampleInterval)
+	}
+}
+
 // rounds is how often the cases with operators repeat.
 const rounds = 5
 
@@ -322,7 +336,7 @@
 
 // spoiled returns the ordinary preset with a change, as YAML.
 func spoiled(p *firm.Plan, change func(*settings.Preset)) ([]byte, error) {
-	data, err := os.ReadFile(filepath.Join(p.Dir, "presets", "ordinary.yaml"))
+	data, err := os.ReadFile(p.PresetFile("ordinary"))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -3,7 +3,11 @@
 package trial
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -58,7 +62,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}, nil
+	t := &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}
+	if o.WithoutPlatform {
+		return t, nil
+	}
+	if err := t.ApplyPresets(ctx); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return t, nil
+}
+
+// ApplyPresets stores the presets of the firm on the platform, where
+// instances start with one alone.
+func (t *Trial) ApplyPresets(ctx context.Context) error {
+	operator, err := t.Operator("first")
+	if err != nil {
+		return err
+	}
+	for _, preset := range t.Plan.Presets {
+		text, err := os.ReadFile(t.Plan.PresetFile(preset.Name))
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if _, err := operator.Apply(ctx, client.Change{Operation: client.NewOperation()}, preset.Name, text); err != nil {
+			return Error.New("preset %s: %w", preset.Name, err)
+		}
+	}
+	return nil
 }
 
 // Operator returns the client of an operator that asks the entries in order.
@@ -136,6 +167,18 @@
 	return ops
 }
 
+// Save writes operations as lines of JSON into the directory of the run.
+func (t *Trial) Save(name string, ops []*caller.Op) error {
+	var lines bytes.Buffer
+	out := json.NewEncoder(&lines)
+	for _, op := range ops {
+		if err := out.Encode(op); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return Error.Wrap(os.WriteFile(filepath.Join(t.Plan.Dir, name), lines.Bytes(), 0o600))
+}
+
 // Note adds operations that were not sent by a Load.
 func (t *Trial) Note(ops ...*caller.Op) { t.history.Add(ops) }
 
