--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/event"
 	"sycamoreledge.example/internal/idempotency"
+	"sycamoreledge.example/internal/locate"
 	"sycamoreledge.example/internal/metrics"
 	"sycamoreledge.example/internal/peer"
 	"sycamoreledge.example/internal/pki"
@@ -100,7 +102,7 @@
 	metrics   *metrics.Metrics
 	callers   *api.Callers
 	operators *api.Operators
-	ranking   *ranking
+	ranker    *locate.Ranker
 	leave     chan struct{}
 }
 
@@ -242,10 +244,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	e.ranking, err = newRanking(e.bundle.Topology, e.loop.Snapshot)
+	table, err := locate.FromTopology(e.bundle.Topology)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	e.ranker = locate.NewRanker(e.bundle.Topology, table)
 	callers, err := e.listen("callers", e.self.Callers)
 	if err != nil {
 		return err
@@ -254,7 +257,7 @@
 		Router:   e.once,
 		Keys:     e.once,
 		Snapshot: e.loop.Snapshot,
-		Rank:     e.ranking.rank,
+		Rank:     e.rank,
 		Ready:    e.ready,
 		Services: kinds,
 		MaxAge:   e.bundle.Settings.Control.MaxAge,
@@ -296,6 +299,11 @@
 	return Error.New("listener of %s at %s: %w", name, address, err)
 }
 
+// rank orders the entries for a caller; they are the same for all services.
+func (e *entry) rank(_ string, client netip.Addr) []control.EntryView {
+	return e.ranker.Rank(e.loop.Snapshot(), client)
+}
+
 // requestLeave begins the planned stop; a repeat has no effect.
 func (e *entry) requestLeave() {
 	select {
