Add the plain proxy that the system is compared with

Cause: a latency says little without that of a common load balancer under the same load. Change: lab baseline serves the callers' interface in place of an entry: round robin over the live upstreams of its region, one queue, no hedging, trust in late load reports, a shed request goes to the next upstream. Ruled out: round robin over all regions, which would pay 70 ms for two requests in three and make the comparison a straw man.

--- /dev/null
+++ b/internal/lab/baseline/proxy.go
@@ -0,0 +1,189 @@
+// Package baseline is the plain proxy that the system is compared with: round
+// robin over the list of live upstreams of its region, one queue for all kinds
+// of work, no hedging, trust in the load reports of the upstreams, and no word
+// with the other entries. It is what a careful operator gets from a common
+// load balancer, and it is never shipped.
+package baseline
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/upstream"
+	"sycamoreledge.example/internal/work"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("baseline")
+
+const (
+	// connections bounds those of one entry to one upstream: an eighth of the
+	// upstream's limit.
+	connections = 40
+	// maxQueue bounds the requests that wait.
+	maxQueue = 1000
+	// shedPause is the time before another round over upstreams that all
+	// refused.
+	shedPause = 2 * time.Millisecond
+	// lookupAttempts bounds the attempts at a lookup that broke.
+	lookupAttempts = 2
+)
+
+// job is a request in the queue.
+type job struct {
+	ctx  context.Context
+	req  *work.Request
+	body []byte
+	done chan *work.Response
+}
+
+// Proxy is one entry.
+type Proxy struct {
+	plan  *firm.Plan
+	entry *firm.Entry
+	kinds map[string]work.Kind
+	pools map[string]*pool
+	send  *upstream.Client
+	queue chan *job
+	// workers is the number of requests that run at a time: the entry's part
+	// of the slots of its region.
+	workers int
+}
+
+// New returns the proxy in place of an entry of the plan.
+func New(p *firm.Plan, entry string) (*Proxy, error) {
+	e := p.Entry(entry)
+	if e == nil {
+		return nil, Error.New("no entry %q", entry)
+	}
+	x := &Proxy{
+		plan:    p,
+		entry:   e,
+		kinds:   map[string]work.Kind{},
+		pools:   pools(p, e.Zone),
+		send:    upstream.NewClient(nil),
+		queue:   make(chan *job, maxQueue),
+		workers: workers(p, e.Zone),
+	}
+	for _, s := range p.Topology.Services {
+		x.kinds[s.Name] = s.Kind
+	}
+	return x, nil
+}
+
+// workers divides the slots of the zone's region by its entries.
+func workers(p *firm.Plan, zone string) int {
+	region := firm.RegionOf(&p.Topology, zone)
+	slots, entries := 0, 0
+	for _, s := range p.Topology.Services {
+		for _, declared := range s.Pools {
+			if firm.RegionOf(&p.Topology, declared.Zone) != region {
+				continue
+			}
+			for _, u := range declared.Upstreams {
+				slots += u.Slots
+			}
+		}
+	}
+	for _, e := range p.Entries {
+		if firm.RegionOf(&p.Topology, e.Zone) == region {
+			entries++
+		}
+	}
+	return max(1, slots/max(1, entries))
+}
+
+// Run works until ctx ends.
+func (x *Proxy) Run(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	for _, p := range x.pools {
+		for _, m := range p.members {
+			go p.watch(ctx, client, m)
+		}
+	}
+	for range x.workers {
+		go x.work(ctx)
+	}
+	<-ctx.Done()
+	x.send.Close()
+}
+
+// work runs requests in the order of the queue.
+func (x *Proxy) work(ctx context.Context) {
+	for {
+		select {
+		case j := <-x.queue:
+			j.done <- x.run(j)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// submit queues a request and waits for its answer.
+func (x *Proxy) submit(ctx context.Context, req *work.Request, body []byte) *work.Response {
+	j := &job{ctx: ctx, req: req, body: body, done: make(chan *work.Response, 1)}
+	select {
+	case x.queue <- j:
+	default:
+		return work.Refuse(work.ReasonQueueFull, time.Second)
+	}
+	return <-j.done
+}
+
+// run sends a request to one upstream after the other until one takes it.
+func (x *Proxy) run(j *job) *work.Response {
+	p := x.pools[j.req.Service]
+	broken := 0
+	for j.ctx.Err() == nil {
+		for range max(1, p.live()) {
+			target, ok := p.choose()
+			if !ok {
+				return work.Refuse(work.ReasonNoUpstream, time.Second)
+			}
+			r := x.attempt(j, target)
+			switch {
+			case r.Outcome == work.Run:
+				return r
+			case r.Outcome == work.Unknown:
+				broken++
+				if !j.req.Kind.Idempotent() || broken >= lookupAttempts {
+					return r
+				}
+			}
+		}
+		pause(j.ctx, shedPause)
+	}
+	return work.Refuse(work.ReasonDeadline, time.Second)
+}
+
+// attempt sends a request to an upstream and takes the whole answer.
+func (x *Proxy) attempt(j *job, target upstream.Target) *work.Response {
+	r := x.send.Do(j.ctx, target, j.req, bytes.NewReader(j.body), j.req.Deadline).Response
+	if r.Body == nil {
+		return r
+	}
+	defer r.Body.Close()
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return work.Uncertain(work.ReasonUpstreamBroken)
+	}
+	r.Body, r.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+	return r
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
