Replay traces against real processes beside baseline and ideal

Cause: no figure of the system under load existed. Change: lab record writes the traces; lab measure starts the system and the plain proxy side by side, replays each trace against one after the other, computes the ideal queue, and prints latency, headroom, drains, processor time, memory and a verdict for each target. Stand-ins tell the time of the work itself. Ruled out: callers that retry during a replay, since what is sent would then depend on the answers.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -20,6 +20,9 @@
 	Call      callCmd      `cmd:"" help:"Send the callers' load of one availability zone of a run."`
 	Run       runCmd       `cmd:"" help:"Start a firm, show it for a while and judge what came of it."`
 	Promises  promisesCmd  `cmd:"" help:"Run the fault cases and tell which promises held."`
+	Baseline  baselineCmd  `cmd:"" help:"Serve a plain proxy in place of an entry, for comparison."`
+	Record    recordCmd    `cmd:"" help:"Record the traces of a firm anew."`
+	Measure   measureCmd   `cmd:"" help:"Replay the traces against real processes and print the figures."`
 }
 
 // runDir names the directory that generate wrote.
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -42,6 +42,8 @@
 	Seed uint64
 	// WithoutPlatform starts the entries before there is a platform.
 	WithoutPlatform bool
+	// Baseline runs the plain proxy in place of the entries.
+	Baseline bool
 }
 
 // Cluster is a running firm.
@@ -82,6 +84,10 @@
 		c.add(logs, upstreamsName(zone), lab, "upstreams", "--run", o.Plan.Dir, "--zone", zone, "--seed", seed)
 	}
 	for _, e := range o.Plan.Entries {
+		if o.Baseline {
+			c.add(logs, e.Name, lab, "baseline", "--run", o.Plan.Dir, "--entry", e.Name)
+			continue
+		}
 		c.add(logs, e.Name, filepath.Join(o.Bin, "sycamoreledge"), "entry", "--settings", e.Settings)
 	}
 	return c, nil
--- a/internal/lab/trace/scenarios.go
+++ b/internal/lab/trace/scenarios.go
@@ -185,3 +185,11 @@
 	}
 	return events
 }
+
+// WarmUpName names the trace that is sent before the others.
+const WarmUpName = "warm-up"
+
+// WarmUp is load that makes all upstreams warm.
+func WarmUp() Scenario {
+	return Scenario{Name: WarmUpName, Preset: Ordinary, Segments: []Segment{segment(Steady, 6, light, target, light)}}
+}
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -14,6 +14,9 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("trace")
 
+// Suffix ends the names of the files of traces.
+const Suffix = ".trace.gz"
+
 // Resolution is the unit of time of a written trace.
 const Resolution = 100 * time.Microsecond
 
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -26,6 +26,8 @@
 	Firm, Bin, Dir  string
 	Seed            uint64
 	WithoutPlatform bool
+	// Baseline runs the plain proxy in place of the entries.
+	Baseline bool
 }
 
 // Trial is a running firm with a history of what was asked of it.
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform})
+	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform, Baseline: o.Baseline})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/upstream/job.go
+++ b/internal/lab/upstream/job.go
@@ -139,6 +139,7 @@
 	h := w.Header()
 	h.Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	h.Set(HeaderDigest, answer.ContentDigest(body))
+	h.Set(HeaderWorkTime, strconv.FormatInt(j.service.Microseconds(), 10))
 	if r.URL.Query().Get(ParamChunked) == "" {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/internal/lab/upstream/upstream.go
+++ b/internal/lab/upstream/upstream.go
@@ -23,6 +23,8 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderNotRun    = "Work-Not-Run"
 	HeaderDigest    = "Content-Digest"
+	// HeaderWorkTime tells how long the work took, in microseconds.
+	HeaderWorkTime = "Work-Time-Us"
 )
 
 // LeavingGrace is how long after it published that it is leaving an upstream
