Let a refusal of the upstreams' stand-in name its request

Change: the refusal echoes it, as every answer does. The test failed before. Ruled out: a client that takes a refusal without it; then a refusal of another request could pass for this one's.

--- a/internal/lab/upstream/upstream.go
+++ b/internal/lab/upstream/upstream.go
@@ -125,7 +125,7 @@
 	defer cancel()
 	j := u.admit(ctx, r)
 	if j == nil {
-		refuse(w)
+		refuse(w, r)
 		return
 	}
 	body, ok := j.run(ctx, r)
@@ -219,7 +219,8 @@
 }
 
 // refuse sends the marker that the work was not run.
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set(HeaderNotRun, "true")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/lab/upstream/upstream_test.go
+++ b/internal/lab/upstream/upstream_test.go
@@ -141,6 +141,7 @@
 				resp := ask(t.Context(), u, "k1", nil, c.header...)
 				g.Expect(resp.Code).To(gomega.Equal(http.StatusServiceUnavailable))
 				g.Expect(resp.Header().Get(HeaderNotRun)).To(gomega.Equal("true"))
+				g.Expect(resp.Header().Get(HeaderRequestID)).To(gomega.Equal("id-k1"))
 				g.Expect(u.Counts().Shed).To(gomega.Equal(int64(1)))
 				g.Expect(rec.list()).To(gomega.BeEmpty())
 			})
