State the outcome of each trace beside it

Cause: limits in code could drift from what a trace is meant to show. Change: a YAML file for each trace names its limits with the firm's weights; lab measure judges by them and says reached, not reached or not run. Ruled out: limits taken from earlier figures, which only show change. Measured: tests of the package pass; nothing was replayed with them yet.

--- a/cmd/lab/measure.go
+++ b/cmd/lab/measure.go
@@ -110,11 +110,28 @@
 	if err != nil {
 		return err
 	}
-	result.Judge(measure.Capacity(f))
+	outcomes, err := loadOutcomes(o.Traces, traces)
+	if err != nil {
+		return err
+	}
+	result.Judge(outcomes, measure.Capacity(f))
 	fmt.Printf("\n## %s (seed %d, %s, load average %v)\n\n%s\n", name, c.Seed, result.Took, result.LoadBusy, result.Markdown())
 	return c.save(name, result)
 }
 
+// loadOutcomes reads the stated outcomes of the traces.
+func loadOutcomes(dir string, traces []string) ([]*measure.Outcome, error) {
+	var all []*measure.Outcome
+	for _, name := range traces {
+		o, err := measure.LoadOutcome(filepath.Join(dir, name+measure.OutcomeSuffix))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, o)
+	}
+	return all, nil
+}
+
 // directory returns where the run of a firm is written and what removes it.
 func (c *measureCmd) directory(name string) (string, func(), error) {
 	if c.Keep != "" {
--- a/internal/lab/measure/table.go
+++ b/internal/lab/measure/table.go
@@ -73,7 +73,7 @@
 
 // targetTable shows the targets.
 func (r *Result) targetTable() string {
-	t := &table{head: []string{"Target", "Value", "Limit", "Verdict", "Baseline", "Ideal"}}
+	t := &table{head: []string{"Trace", "Measure", "Weight", "Value", "Limit", "Verdict", "Baseline", "Ideal"}}
 	for i := range r.Targets {
 		x := &r.Targets[i]
 		sign := "at most"
@@ -84,7 +84,7 @@
 		if x.Missing {
 			value = "-"
 		}
-		t.add(x.Name, strings.TrimSpace(value), strings.TrimSpace(fmt.Sprintf("%s %.4g %s", sign, x.Limit, x.Unit)), x.String(), x.beside(Baseline), x.beside(Ideal))
+		t.add(x.Trace, x.Name, fmt.Sprint(x.Weight), strings.TrimSpace(value), strings.TrimSpace(fmt.Sprintf("%s %.4g %s", sign, x.Limit, x.Unit)), x.String(), x.beside(Baseline), x.beside(Ideal))
 	}
 	return t.String()
 }
--- a/internal/lab/measure/target.go
+++ b/internal/lab/measure/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"sycamoreledge.example/internal/lab/trace"
@@ -9,15 +10,17 @@
 	"sycamoreledge.example/internal/work"
 )
 
-// Target is a measure with its limit.
+// Target is a measure with its limit and what was measured.
 type Target struct {
-	Name  string  `json:"name"`
-	Value float64 `json:"value"`
-	Limit float64 `json:"limit"`
+	Trace  string  `json:"trace"`
+	Name   string  `json:"name"`
+	Weight int     `json:"weight"`
+	Value  float64 `json:"value"`
+	Limit  float64 `json:"limit"`
 	// AtLeast turns the limit into a lower one.
 	AtLeast bool   `json:"at_least,omitempty"`
 	Unit    string `json:"unit,omitempty"`
-	// Beside names what other systems reached, where known.
+	// Beside is what the other systems reached, where known.
 	Beside map[System]float64 `json:"beside,omitempty"`
 	// Missing is set when the run holds no figure for it.
 	Missing bool `json:"missing,omitempty"`
@@ -35,7 +38,7 @@
 	}
 }
 
-// String returns the verdict in a word.
+// String returns the verdict in words.
 func (t *Target) String() string {
 	switch {
 	case t.Missing:
@@ -47,209 +50,187 @@
 	}
 }
 
-// Limits of the targets.
-const (
-	limitIdeal    = 1.3
-	limitBaseline = 0.5
-	limitTail     = 1.5
-	limitHead     = 1.1
-	limitDrain    = 3 * time.Second
-	limitGoodput  = 0.9
-	limitRefusal  = 50 * time.Millisecond
-	limitExtra    = 0.05
-	limitOverhead = time.Millisecond
-)
+// limitOverhead is the most that an entry may add to a direct call.
+const limitOverhead = time.Millisecond
 
-// Judge fills in the targets from the figures.
-func (r *Result) Judge(capacity float64) {
-	r.Targets = []Target{
-		r.ratio("p99 of lookups / ideal", limitIdeal, r.steady(Steer), r.steady(Ideal)),
-		r.ratio("p99 of lookups / baseline", limitBaseline, r.steady(Steer), r.steady(Baseline)),
-		r.factor("tail factor, 2 upstreams slowed 5 times", limitTail, trace.Neighbours, trace.Slowed, trace.Without),
-		r.factor("head-of-line factor beside long uploads", limitHead, trace.Uploads, trace.Beside, trace.Without),
-		r.count("requests over the slots", verdict.Over),
-		r.count("keys run twice", verdict.Doubled),
-		r.count("operations lost", verdict.Lost),
-		r.count("told not run and run", verdict.ToldNotRun),
-		r.drain(),
-		r.cut("cut by a drain or a planned stop", trace.Maintenance),
-		r.goodput(capacity),
-		r.refusal(),
-		r.refusedOtherwise(),
-		r.extra(),
-		r.overhead(),
-	}
-}
+// overheadWeight is that of the overhead of an entry.
+const overheadWeight = 2
 
-// find returns the row of the lookups in a phase, or nil.
-func (r *Result) find(s System, name, phase string) *Row {
-	for i := range r.Rows {
-		row := &r.Rows[i]
-		if row.System == s && row.Trace == name && row.Phase == phase && row.Kind == work.Lookup {
-			return row
+// Judge fills in the targets of the stated outcomes. Capacity is the number of
+// lookups that all upstreams can run in a second.
+func (r *Result) Judge(outcomes []*Outcome, capacity float64) {
+	r.Targets = nil
+	for _, o := range outcomes {
+		for _, l := range o.Limits {
+			r.Targets = append(r.Targets, r.target(o.Trace, l, capacity))
 		}
 	}
-	return nil
-}
-
-// steady is the row of the lookups of an ordinary day.
-func (r *Result) steady(s System) *Row { return r.find(s, trace.Ordinary, trace.Steady) }
-
-// ratio compares the 99th percentiles of two rows.
-func (r *Result) ratio(name string, limit float64, a, b *Row) Target {
-	t := Target{Name: name, Limit: limit, Missing: true}
-	if a == nil || b == nil || a.Run == 0 || b.Run == 0 {
-		return t
+	overhead := Target{Name: "overhead of an entry at the median", Weight: overheadWeight, Unit: "ms", Limit: inMillis(limitOverhead), Missing: r.Overhead == nil}
+	if r.Overhead != nil {
+		overhead.Value = inMillis(r.Overhead.Entry - r.Overhead.Direct)
 	}
-	t.Missing = false
-	t.Value = float64(a.P99) / float64(b.P99)
-	return t
+	r.Targets = append(r.Targets, overhead)
 }
 
-// factor compares two phases of a trace and shows what the others reached.
-func (r *Result) factor(name string, limit float64, of, with, without string) Target {
-	t := r.ratio(name, limit, r.find(Steer, of, with), r.find(Steer, of, without))
-	t.Beside = map[System]float64{}
+// target evaluates one limit for all systems.
+func (r *Result) target(name string, l Limit, capacity float64) Target {
+	t := Target{Trace: name, Name: l.name(), Weight: l.Weight, Unit: l.unit(), Beside: map[System]float64{}}
+	if l.AtLeast != nil {
+		t.Limit, t.AtLeast = *l.AtLeast, true
+	} else {
+		t.Limit = *l.AtMost
+	}
+	value, ok := r.value(Steer, name, l, capacity)
+	t.Value, t.Missing = value, !ok
 	for _, s := range []System{Baseline, Ideal} {
-		other := r.ratio(name, limit, r.find(s, of, with), r.find(s, of, without))
-		if !other.Missing {
-			t.Beside[s] = other.Value
+		if string(s) == l.Against {
+			continue
+		}
+		if v, ok := r.value(s, name, l, capacity); ok {
+			t.Beside[s] = v
 		}
 	}
 	return t
 }
 
-// replays returns those of a system, of one trace or of all.
-func (r *Result) replays(s System, name string) []*Replay {
-	var all []*Replay
-	for i := range r.Replays {
-		p := &r.Replays[i]
-		if p.System == s && (name == "" || p.Trace == name) {
-			all = append(all, p)
-		}
+// name describes the limit.
+func (l *Limit) name() string {
+	parts := []string{string(l.Measure)}
+	if l.Kind != "" {
+		parts = append(parts, "of "+string(l.Kind)+"s, "+l.Phase)
 	}
-	return all
+	if l.Against != "" {
+		parts = append(parts, "/ "+l.Against)
+	}
+	return strings.Join(parts, " ")
 }
 
-// count sums a kind of violation over all traces; none is allowed.
-func (r *Result) count(name string, kind verdict.Kind) Target {
-	t := Target{Name: name, Beside: map[System]float64{}, Missing: len(r.replays(Steer, "")) == 0}
-	for _, p := range r.replays(Steer, "") {
-		t.Value += float64(p.Violations[kind])
-	}
-	for _, p := range r.replays(Baseline, "") {
-		t.Beside[Baseline] += float64(p.Violations[kind])
+// unit is that of the value.
+func (l *Limit) unit() string {
+	switch {
+	case l.Measure == Drained:
+		return "s"
+	case l.Measure == Refusal, (l.Measure == P50 || l.Measure == P99) && l.Against == "":
+		return "ms"
+	default:
+		return ""
 	}
-	return t
 }
 
-// drain is the time until a drained upstream gets no new work.
-func (r *Result) drain() Target {
-	t := Target{Name: "new work after the drain of an upstream", Limit: limitDrain.Seconds(), Unit: "s", Beside: map[System]float64{}, Missing: true}
-	for _, p := range r.replays(Steer, "") {
-		for _, d := range p.Drains {
-			if d.Action == trace.DrainUpstream {
-				t.Missing = false
-				t.Value = max(t.Value, d.LastStart.Seconds())
-			}
-		}
+// value computes a measure of a system; false means that there is no figure.
+func (r *Result) value(s System, name string, l Limit, capacity float64) (float64, bool) {
+	if !l.Measure.ofRow() {
+		return r.ofReplay(s, name, l.Measure)
 	}
-	for _, p := range r.replays(Baseline, "") {
-		for _, d := range p.Drains {
-			t.Beside[Baseline] = max(t.Beside[Baseline], d.LastStart.Seconds())
-		}
+	row := r.find(s, name, l.Phase, l.Kind)
+	if row == nil {
+		return 0, false
 	}
-	return t
-}
-
-// cut counts what broke off in a trace; none is allowed. Events that could not
-// be carried out count too, since they prove nothing.
-func (r *Result) cut(name, of string) Target {
-	t := Target{Name: name, Missing: true, Beside: map[System]float64{}}
-	for _, p := range r.replays(Steer, of) {
-		t.Missing = false
-		t.Value += float64(p.Cut + len(p.Problems))
+	value, ok := row.value(l.Measure, capacity)
+	if !ok || l.Against == "" {
+		return value, ok
 	}
-	for _, p := range r.replays(Baseline, of) {
-		t.Beside[Baseline] += float64(p.Cut)
+	other := r.find(s, name, l.Against, l.Kind)
+	switch System(l.Against) {
+	case Baseline, Ideal, Steer:
+		other = r.find(System(l.Against), name, l.Phase, l.Kind)
 	}
-	return t
+	if other == nil {
+		return 0, false
+	}
+	against, ok := other.value(l.Measure, capacity)
+	if !ok || against == 0 {
+		return 0, false
+	}
+	return value / against, true
 }
 
-// goodput is the part of the capacity that is used under overload.
-func (r *Result) goodput(capacity float64) Target {
-	t := Target{Name: "goodput at 1.5 times the slots / capacity", Limit: limitGoodput, AtLeast: true, Missing: true, Beside: map[System]float64{}}
-	if row := r.find(Steer, trace.Peak, trace.Excess); row != nil && capacity > 0 {
-		t.Missing = false
-		t.Value = row.Goodput / capacity
-	}
-	for _, s := range []System{Baseline, Ideal} {
-		if row := r.find(s, trace.Peak, trace.Excess); row != nil {
-			t.Beside[s] = row.Goodput / capacity
+// find returns the row of a kind in a phase of a trace, or nil.
+func (r *Result) find(s System, name, phase string, kind work.Kind) *Row {
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		if row.System == s && row.Trace == name && row.Phase == phase && row.Kind == kind {
+			return row
 		}
 	}
-	return t
+	return nil
 }
 
-// refusal is how long the slowest refusal under overload took.
-func (r *Result) refusal() Target {
-	t := Target{Name: "slowest refusal under overload", Limit: limitRefusal.Seconds() * 1000, Unit: "ms", Missing: true, Beside: map[System]float64{}}
-	if row := r.find(Steer, trace.Peak, trace.Excess); row != nil && row.NotRun > 0 {
-		t.Missing = false
-		t.Value = row.RefusalMax.Seconds() * 1000
-	}
-	if row := r.find(Baseline, trace.Peak, trace.Excess); row != nil {
-		t.Beside[Baseline] = row.RefusalMax.Seconds() * 1000
+// value computes a measure of a row; false means that nothing was observed.
+func (r *Row) value(m Measure, capacity float64) (float64, bool) {
+	switch m {
+	case P50:
+		return inMillis(r.P50), r.Run > 0
+	case P99:
+		return inMillis(r.P99), r.Run > 0
+	case Goodput:
+		return r.Goodput / capacity, capacity > 0
+	case Refusal:
+		return inMillis(r.RefusalMax), r.NotRun > 0
+	case Missed:
+		return float64(r.Missed) / float64(r.Sent), r.Sent > 0
+	default:
+		return float64(r.Unknown) / float64(r.Sent), r.Sent > 0
 	}
-	return t
 }
 
-// refusedOtherwise counts what overload left without a clear answer.
-func (r *Result) refusedOtherwise() Target {
-	t := Target{Name: "unknown under overload", Missing: true, Beside: map[System]float64{}}
-	if row := r.find(Steer, trace.Peak, trace.Excess); row != nil {
-		t.Missing = false
-		t.Value = float64(row.Unknown)
-	}
-	if row := r.find(Baseline, trace.Peak, trace.Excess); row != nil {
-		t.Beside[Baseline] = float64(row.Unknown)
-	}
-	return t
+// violations maps measures to what the verdict counts.
+var violations = map[Measure]verdict.Kind{
+	Over:         verdict.Over,
+	Repeated:     verdict.Doubled,
+	Lost:         verdict.Lost,
+	ToldNotRun:   verdict.ToldNotRun,
+	AfterLeaving: verdict.AfterLeaving,
+	Bad:          verdict.Bad,
 }
 
-// extra is the largest share of retries and hedges in a trace.
-func (r *Result) extra() Target {
-	t := Target{Name: "hedges and retries / dispatches", Limit: limitExtra, Missing: true}
-	for _, p := range r.replays(Steer, "") {
-		if p.Attempts.First == 0 {
-			continue
+// ofReplay computes a measure of a whole replay.
+func (r *Result) ofReplay(s System, name string, m Measure) (float64, bool) {
+	for i := range r.Replays {
+		p := &r.Replays[i]
+		if p.System == s && p.Trace == name {
+			return p.value(m)
 		}
-		t.Missing = false
-		t.Value = max(t.Value, p.Attempts.Extra())
 	}
-	return t
+	return 0, false
 }
 
-// overhead is what an entry adds to a direct call.
-func (r *Result) overhead() Target {
-	t := Target{Name: "overhead of an entry at the median", Limit: limitOverhead.Seconds() * 1000, Unit: "ms", Missing: r.Overhead == nil}
-	if r.Overhead != nil {
-		t.Value = (r.Overhead.Entry - r.Overhead.Direct).Seconds() * 1000
+// value computes a measure; false means that nothing was observed.
+func (r *Replay) value(m Measure) (float64, bool) {
+	switch m {
+	case Cut:
+		return float64(r.Cut + len(r.Problems)), true
+	case Extra:
+		return r.Attempts.Extra(), r.Attempts.First > 0
+	case Drained:
+		last := r.lastStart()
+		return last.Seconds(), r.has(trace.DrainUpstream)
+	default:
+		return float64(r.Violations[violations[m]]), true
 	}
-	return t
 }
 
-// Line shows the target in one line.
-func (t *Target) Line() string {
-	op := "<="
-	if t.AtLeast {
-		op = ">="
+// has reports whether a drain or stop of the kind took place.
+func (r *Replay) has(a trace.Action) bool {
+	for _, d := range r.Drains {
+		if d.Action == a {
+			return true
+		}
 	}
-	line := fmt.Sprintf("%-42s %9.3f %-2s %s %-6.4g %s", t.Name, t.Value, t.Unit, op, t.Limit, t)
-	for _, s := range []System{Baseline, Ideal} {
-		if v, ok := t.Beside[s]; ok {
-			line += fmt.Sprintf("  (%s %.3f)", s, v)
+	return false
+}
+
+// inMillis returns the duration in milliseconds.
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Missed returns the targets that were not reached or not run, for the end of
+// a printed report.
+func (r *Result) Missed() []string {
+	var all []string
+	for i := range r.Targets {
+		if t := &r.Targets[i]; !t.Reached() {
+			all = append(all, fmt.Sprintf("%s %s: %s", t.Trace, t.Name, t))
 		}
 	}
-	return line
+	return all
 }
