Write the figures as a page, CSV and plots

Cause: figures that stand only on a terminal can't be compared. Change: lab report writes docs/MEASURES.md between two marks, a CSV file and two plots for each firm from the newest results; make measure runs the replays.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,9 @@
 # The fault cases against real processes. QUICK=1 runs a choice of them.
 promises: build
 	bin/lab promises --firm $(FIRM) $(if $(QUICK),--quick)
+
+# The recorded traces against real processes, beside a plain proxy and an ideal
+# queue. QUICK=1 replays a choice of them within five minutes. The results go to
+# out/measure; "bin/lab report" writes docs/MEASURES.md from the last ones.
+measure: build
+	bin/lab measure $(if $(QUICK),--quick)
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -24,6 +24,7 @@
 	Baseline  baselineCmd  `cmd:"" help:"Serve a plain proxy in place of an entry, for comparison."`
 	Record    recordCmd    `cmd:"" help:"Record the traces of a firm anew."`
 	Measure   measureCmd   `cmd:"" help:"Replay the traces against real processes and print the figures."`
+	Report    reportCmd    `cmd:"" help:"Write the figures of the last measurements as tables, CSV and plots."`
 }
 
 // runDir names the directory that generate wrote.
