Spread the callers of a zone over its entries in replays

Cause: all callers of a zone had one address, so one of its two entries got everything, and the plain proxy's workers stood idle in the other. Change: eight addresses for each zone; the plain proxy spreads equals by the caller's address as the system does, and has two workers for each slot. Ruled out: one worker for each slot; its queue then held work back while slots were free, which no careful operator would leave so.

--- a/internal/lab/baseline/baseline_test.go
+++ b/internal/lab/baseline/baseline_test.go
@@ -97,7 +97,7 @@
 	one, two, gone := newBack(t), newBack(t), newBack(t)
 	gone.state.Store(`{"state":"leaving"}`)
 	x := newProxy(t, work.Lookup, one, two, gone)
-	g.Expect(x.workers).To(gomega.Equal(3))
+	g.Expect(x.workers).To(gomega.Equal(generous * 3))
 	for _, m := range x.pools["s"].members {
 		x.pools["s"].look(t.Context(), http.DefaultClient, m)
 	}
@@ -161,7 +161,7 @@
 	g.Expect(ask(x, "5000").Header().Get(headerReason)).To(gomega.Equal(string(work.ReasonQueueFull)))
 }
 
-func TestTheEntryItselfIsListedFirst(t *testing.T) {
+func TestTheEntriesOfTheZoneAreListedFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := newProxy(t, work.Lookup, newBack(t))
 	x.plan.Entries = append([]firm.Entry{{Instance: settings.Instance{Name: "f", Callers: "127.0.0.1:2"}, Zone: "z"}}, x.plan.Entries...)
--- a/internal/lab/baseline/http.go
+++ b/internal/lab/baseline/http.go
@@ -1,6 +1,7 @@
 package baseline
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -9,9 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamoreledge.example/internal/lab/firm"
 	"sycamoreledge.example/internal/work"
 )
@@ -90,33 +94,33 @@
 	Entries  []listed `json:"entries"`
 }
 
-// serveEntries lists this entry, then those of its zone, its region and the
-// others.
+// serveEntries lists the entries of this zone, then those of the region, then
+// the others; equals are spread by the caller's address.
 func (x *Proxy) serveEntries(w http.ResponseWriter, r *http.Request) {
+	client := r.URL.Query().Get("client")
+	entries := slices.Clone(x.plan.Entries)
+	slices.SortStableFunc(entries, func(a, b firm.Entry) int {
+		return cmp.Or(
+			cmp.Compare(x.distance(&a), x.distance(&b)),
+			cmp.Compare(xxhash.Sum64String(client+a.Name), xxhash.Sum64String(client+b.Name)))
+	})
 	answer := listing{Service: r.URL.Query().Get("service"), MaxAgeMs: maxAge.Milliseconds()}
-	for _, far := range []int{0, 1, 2, 3} {
-		for i := range x.plan.Entries {
-			e := &x.plan.Entries[i]
-			if x.distance(e) == far {
-				region := firm.RegionOf(&x.plan.Topology, e.Zone)
-				answer.Entries = append(answer.Entries, listed{e.Name, e.Zone, region, e.Callers})
-			}
-		}
+	for _, e := range entries {
+		region := firm.RegionOf(&x.plan.Topology, e.Zone)
+		answer.Entries = append(answer.Entries, listed{e.Name, e.Zone, region, e.Callers})
 	}
 	writeJSON(w, http.StatusOK, answer)
 }
 
-// distance is 0 for this entry, 1 for its zone, 2 for its region and 3 beyond.
+// distance is 0 in this zone, 1 in its region and 2 beyond.
 func (x *Proxy) distance(e *firm.Entry) int {
 	switch {
-	case e.Name == x.entry.Name:
-		return 0
 	case e.Zone == x.entry.Zone:
-		return 1
+		return 0
 	case firm.RegionOf(&x.plan.Topology, e.Zone) == firm.RegionOf(&x.plan.Topology, x.entry.Zone):
-		return 2
+		return 1
 	default:
-		return 3
+		return 2
 	}
 }
 
--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -30,7 +30,9 @@
 	maxQueue = 1000
 	// shedPause is the time before another round over upstreams that all
 	// refused.
-	shedPause = 2 * time.Millisecond
+	shedPause = 10 * time.Millisecond
+	// generous is how many workers there are for each slot.
+	generous = 2
 	// lookupAttempts bounds the attempts at a lookup that broke.
 	lookupAttempts = 2
 )
@@ -51,8 +53,7 @@
 	pools map[string]*pool
 	send  *upstream.Client
 	queue chan *job
-	// workers is the number of requests that run at a time: the entry's part
-	// of the slots of its region.
+	// workers is the number of requests that run at a time.
 	workers int
 }
 
@@ -77,13 +78,14 @@
 	return x, nil
 }
 
-// workers divides the slots of the zone's region by its entries.
+// workers is twice the part of an entry in the slots of its zone: enough that
+// the queue holds nothing back while there is room, and few enough that a shed
+// request seldom finds all upstreams full.
 func workers(p *firm.Plan, zone string) int {
-	region := firm.RegionOf(&p.Topology, zone)
 	slots, entries := 0, 0
 	for _, s := range p.Topology.Services {
 		for _, declared := range s.Pools {
-			if firm.RegionOf(&p.Topology, declared.Zone) != region {
+			if declared.Zone != zone {
 				continue
 			}
 			for _, u := range declared.Upstreams {
@@ -92,11 +94,11 @@
 		}
 	}
 	for _, e := range p.Entries {
-		if firm.RegionOf(&p.Topology, e.Zone) == region {
+		if e.Zone == zone {
 			entries++
 		}
 	}
-	return max(1, slots/max(1, entries))
+	return max(1, generous*slots/max(1, entries))
 }
 
 // Run works until ctx ends.
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -45,6 +45,9 @@
 	Zone  string
 	Seed  uint64
 	Loads []Load
+	// Host tells callers of one zone apart: it is the place of their address in
+	// the zone's block.
+	Host int
 	// Stats collects the totals; several callers may share it.
 	Stats *Stats
 }
@@ -68,7 +71,7 @@
 	return &Caller{
 		config:    config,
 		client:    client,
-		directory: newDirectory(client, address(config.Plan, config.Zone), known(config.Plan, config.Zone)),
+		directory: newDirectory(client, address(config.Plan, config.Zone, config.Host), known(config.Plan, config.Zone)),
 	}
 }
 
@@ -212,15 +215,21 @@
 	return append(own, other...)
 }
 
-// address returns an address inside the first block of the zone.
-func address(p *firm.Plan, zone string) string {
+// address returns the address of a host inside the first block of the zone.
+func address(p *firm.Plan, zone string, host int) string {
 	for _, b := range p.Topology.Blocks {
 		if b.Zone != zone {
 			continue
 		}
-		if prefix, err := netip.ParsePrefix(b.Prefix); err == nil {
-			return prefix.Addr().Next().String()
+		prefix, err := netip.ParsePrefix(b.Prefix)
+		if err != nil {
+			continue
+		}
+		at := prefix.Addr().Next()
+		for range host {
+			at = at.Next()
 		}
+		return at.String()
 	}
 	return ""
 }
--- a/internal/lab/measure/replay.go
+++ b/internal/lab/measure/replay.go
@@ -14,6 +14,9 @@
 	"sycamoreledge.example/internal/work"
 )
 
+// hosts is the number of callers' addresses in each zone.
+const hosts = 8
+
 // Sample is what became of one send of a trace.
 type Sample struct {
 	Outcome work.Outcome
@@ -55,7 +58,9 @@
 		return nil, Error.New("the firm has no preset %q", t.Preset)
 	}
 	for _, zone := range t.Zones {
-		r.callers = append(r.callers, caller.New(caller.Config{Plan: p, Zone: zone, Seed: t.Seed}))
+		for host := range hosts {
+			r.callers = append(r.callers, caller.New(caller.Config{Plan: p, Zone: zone, Seed: t.Seed, Host: host}))
+		}
 	}
 	return r, nil
 }
@@ -96,7 +101,7 @@
 // send makes the attempt and notes what came of it.
 func (r *replay) send(ctx context.Context, i int, single caller.Single, at time.Time) {
 	behind := time.Since(at)
-	op := r.callers[r.trace.Sends[i].Zone].Send(ctx, single)
+	op := r.callers[r.trace.Sends[i].Zone*hosts+i%hosts].Send(ctx, single)
 	r.ops[i] = op
 	r.samples[i] = Sample{
 		Outcome: op.Outcome,
