Count the attempts at upstreams in the metrics

Cause: attempts_total stayed absent: AttemptStarted, which should have counted it, had no caller, so that the share of retries and hedges could not be read. Change: the metric is read from the owner's and the router's counters when it is asked for; AttemptStarted goes. The label service goes with it, as those counters have none. Ruled out: a call for each dispatch, which costs a lookup of labels on the path of every request.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -237,6 +237,7 @@
 		Events:   e.events,
 		Snapshot: e.loop.Snapshot,
 		Pools:    e.owner.Load,
+		Attempts: e.attempts,
 		Keys:     e.once.Size,
 	})
 	if err != nil {
@@ -280,6 +281,16 @@
 	return nil
 }
 
+// attempts counts the dispatches of this instance. A retry that goes to another
+// pool is counted here, though that pool's owner dispatches it.
+func (e *entry) attempts() metrics.Attempts {
+	stats := e.owner.Stats()
+	hedges := stats.Hedges.Load()
+	retries := stats.Retries.Load()
+	first := stats.Dispatches.Load() - hedges - retries
+	return metrics.Attempts{First: first, Retries: retries + e.router.Stats().Retries.Load(), Hedges: hedges}
+}
+
 func (e *entry) listen(name, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/metrics/labels.go
+++ b/internal/metrics/labels.go
@@ -47,18 +47,6 @@
 	}
 }
 
-type attemptLabels struct {
-	service string
-	attempt Attempt
-}
-
-func (l attemptLabels) attributes() []attribute.KeyValue {
-	return []attribute.KeyValue{
-		attribute.String("service", l.service),
-		attribute.String("attempt", string(l.attempt)),
-	}
-}
-
 type callLabels struct {
 	call, result string
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,8 @@
 	Snapshot func() *control.Snapshot
 	// Pools returns the load of the pools that this instance dispatches to.
 	Pools func() []control.PoolStatus
+	// Attempts returns the dispatches to upstreams since the start.
+	Attempts func() Attempts
 	// Keys returns the number of idempotency keys kept and the size of their
 	// stored outcomes in bytes.
 	Keys func() (keys int, bytes int64)
@@ -57,7 +59,6 @@
 	provider *sdk.MeterProvider
 	requests metric.Int64Counter
 	latency  metric.Float64Histogram
-	attempts metric.Int64Counter
 	calls    metric.Int64Counter
 	callTime metric.Float64Histogram
 	labels   labelCache
@@ -106,9 +107,6 @@
 		metric.WithDescription("Time from the arrival of a request to the end of its answer."),
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...))
 	failed.Add(err)
-	m.attempts, err = meter.Int64Counter("attempts",
-		metric.WithDescription("Dispatches to upstreams: first attempts, retries and hedges."))
-	failed.Add(err)
 	m.calls, err = meter.Int64Counter("platform_calls",
 		metric.WithDescription("Calls of the platform's object API by result."))
 	failed.Add(err)
@@ -130,22 +128,9 @@
 	m.latency.Record(ctx, elapsed.Seconds(), m.labels.get(latencyLabels{service, kind, outcome}))
 }
 
-// Attempt is the kind of a dispatch to an upstream.
-type Attempt string
-
-// The kinds of attempts.
-const (
-	FirstAttempt Attempt = "first"
-	Retry        Attempt = "retry"
-	Hedge        Attempt = "hedge"
-)
-
-// AttemptStarted counts a dispatch to an upstream.
-func (m *Metrics) AttemptStarted(service string, attempt Attempt) {
-	if m == nil {
-		return
-	}
-	m.attempts.Add(context.Background(), 1, m.labels.get(attemptLabels{m.service(service), attempt}))
+// Attempts counts dispatches to upstreams by their kind.
+type Attempts struct {
+	First, Retries, Hedges int64
 }
 
 // PlatformCall counts a call of the object API, such as "get", with its result
--- a/internal/metrics/observe.go
+++ b/internal/metrics/observe.go
@@ -21,6 +21,7 @@
 	ownedPools          metric.Int64ObservableGauge
 	snapshotAge         metric.Float64ObservableGauge
 	keys, keyBytes      metric.Int64ObservableGauge
+	attempts            metric.Int64ObservableCounter
 	events              metric.Int64ObservableCounter
 	droppedLines        metric.Int64ObservableCounter
 }
@@ -48,6 +49,7 @@
 		ownedPools:    gauge("owned_pools", "Pools that this instance may dispatch to."),
 		keys:          gauge("idempotency_keys", "Idempotency keys kept by this instance."),
 		keyBytes:      gauge("idempotency_key_bytes", "Size of the stored outcomes of idempotency keys."),
+		attempts:      counter("attempts", "Dispatches to upstreams: first attempts, retries and hedges."),
 		events:        counter("events", "Numbered events, also those that were not written to the log."),
 		droppedLines:  counter("dropped_log_lines", "Log lines lost because the output was too slow."),
 	}
@@ -64,7 +66,7 @@
 			return nil
 		},
 		g.busy, g.slots, g.queued, g.configVersion, g.presetInForce, g.members, g.ownedPools,
-		g.snapshotAge, g.keys, g.keyBytes, g.events, g.droppedLines)
+		g.snapshotAge, g.keys, g.keyBytes, g.attempts, g.events, g.droppedLines)
 	return err
 }
 
@@ -72,6 +74,9 @@
 	if m.opts.Pools != nil {
 		readPools(g, o, m.opts.Pools())
 	}
+	if m.opts.Attempts != nil {
+		readAttempts(g, o, m.opts.Attempts())
+	}
 	if m.opts.Keys != nil {
 		keys, size := m.opts.Keys()
 		o.ObserveInt64(g.keys, int64(keys))
@@ -95,6 +100,12 @@
 	}
 }
 
+func readAttempts(g *gauges, o metric.Observer, a Attempts) {
+	o.ObserveInt64(g.attempts, a.First, metric.WithAttributes(attribute.String("attempt", "first")))
+	o.ObserveInt64(g.attempts, a.Retries, metric.WithAttributes(attribute.String("attempt", "retry")))
+	o.ObserveInt64(g.attempts, a.Hedges, metric.WithAttributes(attribute.String("attempt", "hedge")))
+}
+
 func readSnapshot(g *gauges, o metric.Observer, snap *control.Snapshot) {
 	if snap == nil {
 		return
