--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -31,6 +31,8 @@
 	Firm, Bin, Dir  string
 	Seed            uint64
 	WithoutPlatform bool
+	// Baseline runs the plain proxy in place of the entries.
+	Baseline bool
 	// KeyLifetime replaces the lifetime of issued keys when above 0.
 	KeyLifetime time.Duration
 }
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform})
+	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform, Baseline: o.Baseline})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/upstream/upstream.go
+++ b/internal/lab/upstream/upstream.go
@@ -23,6 +23,8 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderNotRun    = "Work-Not-Run"
 	HeaderDigest    = "Content-Digest"
+	// HeaderWorkTime tells how long the work took, in microseconds.
+	HeaderWorkTime = "Work-Time-Us"
 )
 
 // LeavingGrace is how long after it published that it is leaving an upstream
@@ -123,7 +125,7 @@
 	defer cancel()
 	j := u.admit(ctx, r)
 	if j == nil {
-		refuse(w)
+		refuse(w, r)
 		return
 	}
 	body, ok := j.run(ctx, r)
@@ -217,7 +219,8 @@
 }
 
 // refuse sends the marker that the work was not run.
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set(HeaderNotRun, "true")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
