Measure the control core in fleets of up to 2,400 instances

Cause: what control costs at the future size is not known.

Change: lab capacity runs the real cores of a whole fleet in one process, tick by tick, each message encoded and decoded as between processes, and prints messages, bytes, processor time and memory by role and by type of message. A core tells its roles for this.

Ruled out: a few real cores with invented peers, since which instance speaks, watches or adopts follows from what all of them know.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 # The fault cases against real processes. QUICK=1 runs a choice of them.
 promises: build
 	bin/lab promises --firm $(FIRM) $(if $(QUICK),--quick)
+
+# What an instance costs as the declared fleet grows, up to 2,400 instances.
+capacity: build
+	bin/lab capacity
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -20,6 +20,7 @@
 	Call      callCmd      `cmd:"" help:"Send the callers' load of one availability zone of a run."`
 	Run       runCmd       `cmd:"" help:"Start a firm, show it for a while and judge what came of it."`
 	Promises  promisesCmd  `cmd:"" help:"Run the fault cases and tell which promises held."`
+	Capacity  capacityCmd  `cmd:"" help:"Measure what an instance costs as the fleet grows."`
 }
 
 // runDir names the directory that generate wrote.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -141,3 +141,26 @@
 	}
 	return view
 }
+
+// Roles are the duties that an instance has at the moment beside that of a
+// plain member of its zone.
+type Roles struct {
+	// Owner: dispatches to a pool.
+	Owner bool
+	// Watcher: watches the platform for its zone.
+	Watcher bool
+	// Speaker: exchanges digests with other zones.
+	Speaker bool
+	// Adopter: grants the reserved slots of another zone, and would adopt it.
+	Adopter bool
+}
+
+// Roles returns the present duties of this instance.
+func (c *Core) Roles() Roles {
+	return Roles{
+		Owner:   slices.ContainsFunc(c.pools, func(p ownedPool) bool { return p.owned }),
+		Watcher: c.watcher(),
+		Speaker: slices.Contains(c.speakers(c.zone), c.self),
+		Adopter: slices.ContainsFunc(c.wards, func(w ward) bool { return w.holder }),
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/fleet.go
@@ -0,0 +1,230 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/settings"
+	"sycamoreledge.example/internal/work"
+)
+
+// workers is how many goroutines step the cores of a fleet.
+const workers = 3
+
+// Fleet runs the control cores of all instances of a topology tick by tick.
+// What a core sends in one tick arrives before the next, encoded and decoded
+// as between processes.
+type Fleet struct {
+	Top   *settings.Topology
+	Nodes []*Node
+	Now   time.Time
+	// Cut reports whether messages from one instance to another are lost.
+	Cut     func(from, to *Node) bool
+	byName  map[string]*Node
+	initial *settings.Preset
+	run     uint64
+	seconds int
+}
+
+// Node is one instance of the fleet.
+type Node struct {
+	Name, Zone, Region string
+	Core               *control.Core
+	Snapshot           *control.Snapshot
+	Down               bool
+	// History is the usage by second since the last reset.
+	History []Usage
+
+	rng    *rand.Rand
+	inbox  [][]byte
+	outbox []packet
+}
+
+// packet is an encoded message on its way.
+type packet struct {
+	to   string
+	kind MessageType
+	data []byte
+}
+
+// NewFleet starts all instances of a shape at the same time.
+func NewFleet(s Shape, seed uint64) *Fleet {
+	top := s.Topology()
+	f := &Fleet{
+		Top:     top,
+		Now:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		Cut:     func(_, _ *Node) bool { return false },
+		byName:  map[string]*Node{},
+		initial: Preset(top, "ordinary"),
+	}
+	for region, zone := range top.Zones() {
+		for i := range zone.Instances {
+			n := &Node{
+				Name:   zone.Instances[i].Name,
+				Zone:   zone.Name,
+				Region: region.Name,
+				rng:    rand.New(rand.NewPCG(seed, uint64(len(f.Nodes)))),
+			}
+			f.Nodes = append(f.Nodes, n)
+			f.byName[n.Name] = n
+			f.Boot(n, nil)
+		}
+	}
+	return f
+}
+
+// Boot starts a new process of an instance. Unclean names the instances of its
+// zone whose former run did not stop as planned.
+func (f *Fleet) Boot(n *Node, unclean []string) {
+	f.run++
+	n.Down = false
+	n.Snapshot = nil
+	n.inbox = nil
+	n.Core = control.New(control.Params{
+		Self:        n.Name,
+		Incarnation: f.run,
+		Topology:    f.Top,
+		Timing:      timing,
+		Initial:     f.initial,
+		Unclean:     unclean,
+		Start:       f.Now,
+	})
+}
+
+// Kill ends the process of an instance.
+func (n *Node) Kill() {
+	n.Down = true
+	n.inbox = nil
+}
+
+// Step advances the clock by one tick and runs all cores.
+func (f *Fleet) Step() {
+	f.Now = f.Now.Add(timing.Tick)
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			for i := w; i < len(f.Nodes); i += workers {
+				f.Nodes[i].step(f.Now)
+			}
+		})
+	}
+	wg.Wait()
+	for _, n := range f.Nodes {
+		f.deliver(n)
+	}
+}
+
+// Run steps the fleet for a time.
+func (f *Fleet) Run(d time.Duration) {
+	for range int(d / time.Second) {
+		for _, n := range f.Nodes {
+			n.History = append(n.History, Usage{})
+		}
+		for range int(time.Second / timing.Tick) {
+			f.Step()
+		}
+		f.seconds++
+	}
+}
+
+// Reset forgets the usage so far.
+func (f *Fleet) Reset() {
+	for _, n := range f.Nodes {
+		n.History = nil
+	}
+}
+
+func (n *Node) usage() *Usage {
+	if len(n.History) == 0 {
+		n.History = append(n.History, Usage{})
+	}
+	return &n.History[len(n.History)-1]
+}
+
+// step runs one tick as the control loop of an instance does.
+func (n *Node) step(now time.Time) {
+	if n.Down {
+		return
+	}
+	usage := n.usage()
+	load := n.load()
+	begin := threadTime()
+	for _, data := range n.inbox {
+		n.receive(now, data, usage)
+	}
+	n.inbox = n.inbox[:0]
+	n.Core.SetLoad(load)
+	n.Core.Tick(now)
+	n.collect(usage)
+	usage.CPU += threadTime() - begin
+}
+
+func (n *Node) receive(now time.Time, data []byte, usage *Usage) {
+	var msg control.Message
+	if err := cbor.Unmarshal(data, &msg); err != nil {
+		panic(fmt.Sprintf("capacity: a control message cannot be decoded: %v", err))
+	}
+	usage.In[typeOf(&msg)].add(len(data))
+	n.Core.Step(now, msg)
+}
+
+func (n *Node) collect(usage *Usage) {
+	r := n.Core.Ready()
+	if r.Snapshot != nil {
+		n.Snapshot = r.Snapshot
+	}
+	for i := range r.Messages {
+		out := &r.Messages[i]
+		data, err := cbor.Marshal(out.Msg)
+		if err != nil {
+			panic(fmt.Sprintf("capacity: a control message cannot be encoded: %v", err))
+		}
+		kind := typeOf(&out.Msg)
+		usage.Out[kind].add(len(data))
+		n.outbox = append(n.outbox, packet{to: out.To, kind: kind, data: data})
+	}
+}
+
+// load returns a load of the owned pools that changes with each tick, as that
+// of a busy pool does.
+func (n *Node) load() []control.PoolStatus {
+	if n.Snapshot == nil {
+		return nil
+	}
+	const slots = upstreamsPerPool * slotsPerUpstream
+	var load []control.PoolStatus
+	for _, id := range n.owned() {
+		load = append(load, control.PoolStatus{
+			Pool:  id,
+			Slots: slots,
+			Busy:  slots/2 + n.rng.IntN(slots/2),
+		})
+	}
+	return load
+}
+
+func (n *Node) owned() []work.PoolID {
+	var ids []work.PoolID
+	for id := range n.Snapshot.Owned {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (f *Fleet) deliver(n *Node) {
+	for _, p := range n.outbox {
+		to := f.byName[p.to]
+		if !to.Down && !f.Cut(n, to) {
+			to.inbox = append(to.inbox, p.data)
+		}
+	}
+	n.outbox = n.outbox[:0]
+}
--- /dev/null
+++ b/internal/lab/capacity/report.go
@@ -0,0 +1,97 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Targets of one instance for control.
+const (
+	targetCore  = 0.021
+	targetBytes = 17_000
+	targetHeap  = 32 << 20
+)
+
+// SteadyTable prints a row for each size and role.
+func SteadyTable(all []Steady) string {
+	var b strings.Builder
+	b.WriteString("| Members | Role | Instances | Core % | Messages/s in | out | Encoded B/s in | out | With headers B/s | Worst 5 s: CPU ms | B |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		for j := range all[i].Roles {
+			u := &all[i].Roles[j]
+			in, out := u.Sum.Total()
+			fmt.Fprintf(&b, "| %d | %s | %d | %.2f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %d |\n",
+				all[i].Shape.Members, u.Role, u.Count, 100*u.Core(),
+				u.PerSecond(in.Messages), u.PerSecond(out.Messages),
+				u.PerSecond(in.Bytes), u.PerSecond(out.Bytes), u.PerSecond(u.Sum.WireBytes()),
+				float64(u.Worst.CPU.Microseconds())/1000, u.Worst.Bytes)
+		}
+	}
+	return b.String()
+}
+
+// TypeTable prints the messages of each role by their type.
+func TypeTable(all []Steady) string {
+	var b strings.Builder
+	b.WriteString("| Members | Role | Type | Messages/s in | out | Encoded B/s in | out | Mean B |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		for j := range all[i].Roles {
+			typeRows(&b, all[i].Shape.Members, &all[i].Roles[j])
+		}
+	}
+	return b.String()
+}
+
+func typeRows(b *strings.Builder, members int, u *RoleUsage) {
+	for t := range messageTypes {
+		in, out := u.Sum.In[t], u.Sum.Out[t]
+		count := in.Messages + out.Messages
+		if count == 0 {
+			continue
+		}
+		fmt.Fprintf(b, "| %d | %s | %v | %.1f | %.1f | %.0f | %.0f | %d |\n",
+			members, u.Role, t, u.PerSecond(in.Messages), u.PerSecond(out.Messages),
+			u.PerSecond(in.Bytes), u.PerSecond(out.Bytes), (in.Bytes+out.Bytes)/count)
+	}
+}
+
+// SizeTable prints what does not depend on the role.
+func SizeTable(all []Steady) string {
+	var b strings.Builder
+	b.WriteString("| Members | Zones | Pools | Heap of a core, KB | Core % of the whole process by member | Pools with an owner and all slots | Members seen by one |\n")
+	b.WriteString("|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		s := &all[i]
+		fmt.Fprintf(&b, "| %d | %d | %d | %d | %.2f | %d | %d |\n", s.Shape.Members, s.Shape.Zones, s.Shape.Pools,
+			s.HeapPerCore/1000, 100*s.Process, s.Owned, s.Seen)
+	}
+	return b.String()
+}
+
+// TargetTable compares each role with the targets.
+func TargetTable(all []Steady) string {
+	var b strings.Builder
+	b.WriteString("| Members | Role | Core, part of the target | Encoded bytes | With headers | Heap |\n")
+	b.WriteString("|---|---|---|---|---|---|\n")
+	for i := range all {
+		for j := range all[i].Roles {
+			u := &all[i].Roles[j]
+			fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %s |\n", all[i].Shape.Members, u.Role,
+				ratio(u.Core()/targetCore),
+				ratio(u.PerSecond(u.Sum.Bytes())/targetBytes),
+				ratio(u.PerSecond(u.Sum.WireBytes())/targetBytes),
+				ratio(float64(all[i].HeapPerCore)/targetHeap))
+		}
+	}
+	return b.String()
+}
+
+// ratio prints a part of a target, with a mark where it is missed.
+func ratio(r float64) string {
+	if r > 1 {
+		return fmt.Sprintf("**%.2f over**", r)
+	}
+	return fmt.Sprintf("%.2f", r)
+}
