Judge instances of neighbour zones by their rows where no heartbeats flow

Cause: in zones of three and more instances only two of them exchange heartbeats with the neighbour zone, but all judged its instances by heartbeats. The others took the whole neighbour zone for dead, sent their digests to instances that speak for nobody there, and, when both ranked instances failed, never tried a third one.

Change: the instances with which heartbeats flow are computed in each tick (contacts); only they are judged by silence, all others by their rows. A member that gets rows of another zone passes them to the speakers of its own zone.

Ruled out: heartbeats between all instances of neighbour zones, which grow with the square of the zone.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -103,6 +103,7 @@
 	c.pools = newOwnedPools(ix)
 	c.wards = c.newWards(len(p.Unclean) > 0)
 	c.blockUnclean(p.Unclean)
+	c.updateContacts()
 	return c
 }
 
@@ -122,6 +123,7 @@
 	last := c.now
 	c.now = now
 	c.detectPause(last)
+	c.updateContacts()
 	c.detectFailures()
 	c.finishCatchUp()
 	c.updateOwnership()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -14,7 +14,7 @@
 	configVersion int64
 	successor     string
 
-	// heardAt is when a message last arrived directly. For partners, silence
+	// heardAt is when a message last arrived directly. For contacts, silence
 	// of one lease after it means failure.
 	heardAt time.Time
 	heard   bool // in this incarnation
@@ -39,10 +39,15 @@
 	pools     []PoolStatus
 	learnedAt time.Time
 	rowFailed bool
-	changedAt uint64
+	// fromOutside is set where the row came from another zone.
+	fromOutside bool
+	changedAt   uint64
 
 	configSentAt  time.Time
 	configAskedAt time.Time
+
+	// contact is set where heartbeats flow between the instance and this one.
+	contact bool
 }
 
 func newMembers(ix *index, start time.Time) []member {
@@ -89,23 +94,15 @@
 		heardAt:     c.now,
 		learnedAt:   m.learnedAt,
 		changedAt:   m.changedAt,
+		contact:     m.contact,
 	}
 }
 
-// partner reports whether direct heartbeats are expected from the instance:
-// it is in the own zone, in the zone that adopts the own one, or in a zone that
-// the own one adopts.
-func (c *Core) partner(i int) bool {
-	z := c.ix.instances[i].zone
-	return i != c.self &&
-		(z == c.zone || z == c.ix.zones[c.zone].adopter || c.ix.zones[z].adopter == c.zone)
-}
-
-// detectFailures marks partners that have been silent for a lease.
+// detectFailures marks contacts that have been silent for a lease.
 func (c *Core) detectFailures() {
 	for i := range c.members {
 		m := &c.members[i]
-		if m.failed || m.state == Left || !c.partner(i) {
+		if m.failed || m.state == Left || !m.contact {
 			continue
 		}
 		if c.now.Sub(m.heardAt) <= c.timing.Lease {
@@ -122,7 +119,7 @@
 	}
 }
 
-// forgiveSilence restarts the silence of all partners, also of those that had
+// forgiveSilence restarts the silence of all members, also of those that had
 // failed: while this process did not run it could not hear them, and they may
 // have taken pools meanwhile.
 func (c *Core) forgiveSilence() {
@@ -141,13 +138,20 @@
 	switch {
 	case m.state == Left || m.incarnation == 0:
 		return false
-	case c.partner(i):
+	case m.contact:
 		return m.heard && !m.failed
 	default:
-		return !m.rowFailed && c.now.Sub(m.learnedAt) <= c.spread.timeout
+		return c.rowAlive(i)
 	}
 }
 
+// rowAlive reports whether the row of an instance says that it is alive.
+func (c *Core) rowAlive(i int) bool {
+	m := &c.members[i]
+	return m.state != Left && m.incarnation > 0 &&
+		!m.rowFailed && c.now.Sub(m.learnedAt) <= c.spread.timeout
+}
+
 // serving reports whether the instance may own pools.
 func (c *Core) serving(i int) bool {
 	if i == c.self {
@@ -212,7 +216,7 @@
 	m.owned = slices.Clone(owned)
 }
 
-// sendHeartbeats sends to the partners that are due, all at the same time.
+// sendHeartbeats sends to the contacts that are due, all at the same time.
 func (c *Core) sendHeartbeats() {
 	if c.now.Before(c.spread.nextHeartbeat) {
 		return
@@ -242,46 +246,6 @@
 	}
 }
 
-// adopterRanks is how many instances of the adopting zone get heartbeats from
-// each instance of a zone: the one that adopts and the next in rank.
-const adopterRanks = 2
-
-// wantsHeartbeat limits heartbeats between zones to the instances that may
-// adopt, and to answers to those that asked.
-func (c *Core) wantsHeartbeat(i int) bool {
-	if !c.partner(i) {
-		return false
-	}
-	z := c.ix.instances[i].zone
-	if z == c.zone {
-		return true
-	}
-	if c.ix.zones[z].adopter == c.zone && c.members[i].heard && !c.members[i].failed {
-		return true
-	}
-	if z != c.ix.zones[c.zone].adopter {
-		return false
-	}
-	ranked := c.ix.rank(adopterKey(c.ix.zones[c.zone].name), c.liveOrDeclared(z))
-	return slices.Contains(ranked[:min(adopterRanks, len(ranked))], i)
-}
-
-// liveOrDeclared returns the instances of a zone not known to have failed, or
-// all of them when none is left.
-func (c *Core) liveOrDeclared(zone int) []int {
-	declared := c.ix.zones[zone].instances
-	var live []int
-	for _, i := range declared {
-		if !c.members[i].rowFailed && !c.members[i].failed && c.members[i].state != Left {
-			live = append(live, i)
-		}
-	}
-	if len(live) == 0 {
-		return declared
-	}
-	return live
-}
-
 func (c *Core) zoneName(i int) string { return c.ix.zones[c.ix.instances[i].zone].name }
 
 func (c *Core) dispatchTimeout(pool int) time.Duration {
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -100,7 +100,7 @@
 	speakers := c.speakers(c.zone)
 	if !slices.Contains(speakers, c.self) {
 		for _, i := range speakers {
-			c.sendRows(i, func(row int) bool { return row == c.self })
+			c.sendRows(i, func(row int) bool { return row == c.self || c.members[row].fromOutside })
 		}
 		return
 	}
@@ -270,7 +270,8 @@
 	m.successor = row.Successor
 	m.rowFailed = row.Failed
 	m.learnedAt = c.now
-	if !c.partner(i) || row.State == Left {
+	m.fromOutside = c.ix.instances[from].zone != c.zone
+	if !m.contact || row.State == Left {
 		c.learnState(i, row.State)
 	}
 	c.spread.touch(m)
