--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,14 +7,12 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/api/wire"
+	"sycamoreledge.example/internal/pki"
 )
 
 var (
@@ -65,9 +64,12 @@
 	Endpoints []string
 	// Token is the operator's bearer token.
 	Token string
-	// CAFile holds the firm's authority in PEM; without one the system's
-	// authorities count.
+	// CAFile holds the firm's authority in PEM: any instance with a certificate
+	// of it is trusted, whatever its address. Without one the authorities of
+	// the system count.
 	CAFile string
+	// TLS goes before CAFile where it is set.
+	TLS *tls.Config
 	// Timeout bounds one call to one instance; 0 means DefaultTimeout.
 	Timeout time.Duration
 }
@@ -96,16 +98,22 @@
 		}
 		c.endpoints = append(c.endpoints, endpoint)
 	}
-	roots, err := loadRoots(opts.CAFile)
+	secure, err := trusted(opts)
 	if err != nil {
 		return nil, err
 	}
-	c.http = &http.Client{Transport: &http.Transport{
-		TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13},
-	}}
+	c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: secure}}
 	return c, nil
 }
 
+func trusted(opts Options) (*tls.Config, error) {
+	if opts.TLS != nil || opts.CAFile == "" {
+		return opts.TLS, nil
+	}
+	secure, err := pki.OperatorClient(opts.CAFile)
+	return secure, Error.Wrap(err)
+}
+
 // parseEndpoint accepts host:port and https://host:port.
 func parseEndpoint(text string) (*url.URL, error) {
 	if !strings.Contains(text, "://") {
@@ -121,21 +129,6 @@
 	return &url.URL{Scheme: endpoint.Scheme, Host: endpoint.Host}, nil
 }
 
-func loadRoots(file string) (*x509.CertPool, error) {
-	if file == "" {
-		return nil, nil
-	}
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return nil, Error.New("%s holds no certificate in PEM form", file)
-	}
-	return roots, nil
-}
-
 // NewOperation returns a fresh operation id.
 func NewOperation() string {
 	var id [operationBytes]byte
