Follow the identities of unclean runs in the capacity fleet

Cause: the control core now takes unclean runs with their incarnations. Change: the fleet of lab capacity passes them so. Nothing else was tried. Measured: go test ./internal/control ./internal/lab/capacity passes.

--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -79,9 +79,9 @@
 	return f
 }
 
-// Boot starts a new process of an instance. Unclean names the instances of its
-// zone whose former run did not stop as planned.
-func (f *Fleet) Boot(n *Node, unclean []string) {
+// Boot starts a new process of an instance. Unclean are the runs of its
+// zone that did not stop as planned.
+func (f *Fleet) Boot(n *Node, unclean []control.Identity) {
 	f.run++
 	n.Down = false
 	n.Snapshot = nil
