--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -105,6 +105,7 @@
 	c.pools = newOwnedPools(ix)
 	c.wards = c.newWards()
 	c.blockUnclean(p.Unclean)
+	c.updateContacts()
 	return c
 }
 
@@ -124,6 +125,7 @@
 	last := c.now
 	c.now = now
 	c.detectPause(last)
+	c.updateContacts()
 	c.detectFailures()
 	c.finishCatchUp()
 	c.updateOwnership()
