Let the holder of handed-over keys announce them

Cause: a leaving instance named its successor in its own row, which its replacement under the same name wiped out: instances that started later, the replacement first of all, answered repeats of its keys as unknown. Digests also did not resend old rows to a restarted instance. Change: the instance that holds the keys of former runs lists them in its row, so that they are found for as long as the holder lives and over any number of handovers. A planned stop now waits for the remote timeout as well as for the age of lists, since an instance that is cut off may go on listing it that long. Ruled out: following the chain of successors by name (the test for two handovers failed on it).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -39,8 +39,7 @@
 	machine *stateless.StateMachine
 	state   InstanceState
 	// resumed is when the instance last started or came back from a pause.
-	resumed   time.Time
-	successor string
+	resumed time.Time
 	// retired is set once all pools are given up for good.
 	retired bool
 
@@ -56,7 +55,7 @@
 	lastSent int64
 	load     map[int]PoolStatus
 	leaving  leavingLists
-	succeed  successors
+	held     []held
 	messages []Outbound
 	events   []Event
 	// stale is set when the last snapshot no longer shows the tables.
@@ -134,7 +133,7 @@
 	c.sendHeartbeats()
 	c.sendDigests()
 	c.leaving.expire(c.now)
-	c.expireSuccessors()
+	c.expireHeld()
 	c.stale = true
 }
 
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -210,22 +210,39 @@
 	}
 }
 
-func TestLeavingInstanceNamesItsSuccessor(t *testing.T) {
+// TestKeysAreFoundAfterTwoHandovers also asks an instance that started after
+// the first of them.
+func TestKeysAreFoundAfterTwoHandovers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleet(t, 3, 1)
 	f.steps(3 * time.Second)
-	leaver := f.nodes["r0z0-0"].core
-	leaver.Leave()
-	leaver.SetSuccessor("r0z0-1")
-	f.steps(2 * time.Second)
-	for name, n := range f.nodes {
-		if name == "r0z0-0" {
-			continue
-		}
-		g.Expect(n.snapshot.Successors).To(gomega.HaveKeyWithValue(leaver.identity, "r0z0-1"), name)
+	first := f.nodes["r0z0-0"].core.identity
+	f.leave("r0z0-0", "r0z0-1", first)
+	f.boot("r0z0-0")
+	f.kill("r2z0-0")
+	f.boot("r2z0-0")
+	f.steps(6 * time.Second)
+	f.leave("r0z0-1", "r0z1-0", first, f.nodes["r0z0-1"].core.identity)
+	f.steps(3 * time.Second)
+	for _, name := range []string{"r0z0-0", "r1z0-0", "r2z0-0"} {
+		g.Expect(f.nodes[name].snapshot.Successors).To(gomega.HaveKeyWithValue(first, "r0z1-0"), name)
 	}
 }
 
+// leave stops an instance as planned, with its keys handed over.
+func (f *fleet) leave(name, successor string, keysOf ...Identity) {
+	n := f.nodes[name]
+	n.core.Leave()
+	f.nodes[successor].core.Hold(keysOf)
+	f.steps(time.Second)
+	n.core.Retire()
+	f.deliver(n)
+	f.steps(testTimeout)
+	n.core.Finish()
+	f.deliver(n)
+	f.kill(name)
+}
+
 func TestOldProcessIsNotHeardAfterItsReplacement(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleet(t, 1, 1)
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -12,7 +12,7 @@
 	incarnation   uint64
 	state         InstanceState
 	configVersion int64
-	successor     string
+	holds         []Identity
 
 	// heardAt is when a message last arrived directly. For contacts, silence
 	// of one lease after it means failure.
@@ -91,6 +91,7 @@
 	if m.heard && m.state != Left {
 		c.blockPoolsOf(i, m.heardAt)
 	}
+	delete(c.spread.sentTo, i) // It knows nothing yet.
 	*m = member{
 		incarnation: incarnation,
 		state:       Joining,
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -69,7 +69,8 @@
 	Sequence      uint64        `cbor:"3,keyasint"`
 	State         InstanceState `cbor:"4,keyasint"`
 	ConfigVersion int64         `cbor:"5,keyasint"`
-	Successor     string        `cbor:"6,keyasint,omitempty"`
+	// Holds are the former runs whose idempotency keys the instance holds.
+	Holds []Identity `cbor:"6,keyasint,omitempty"`
 	// Pools are the pools that the instance dispatches to.
 	Pools []PoolStatus `cbor:"7,keyasint,omitempty"`
 	// Failed is set by the instance's zone when it no longer hears it. An
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -38,8 +38,8 @@
 	DrainedZones map[string]bool
 	// Watcher is set where this instance watches the platform for its zone.
 	Watcher bool
-	// Successors maps an instance that left, with its incarnation, to the
-	// instance that holds its idempotency keys.
+	// Successors maps a former run to the instance that holds its idempotency
+	// keys.
 	Successors map[Identity]string
 }
 
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -53,19 +53,25 @@
 }
 
 func newSpread(ix *index) spread {
-	return spreadFor(len(ix.instances))
-}
-
-func spreadFor(instances int) spread {
-	byBudget := time.Duration(instances*rowBytes) * time.Second / refreshBytesPerSecond
-	refresh := max(minRefresh, byBudget)
+	instances := len(ix.instances)
 	return spread{
-		refresh: refresh,
-		timeout: refreshesToTimeout * refresh,
+		refresh: refreshInterval(instances),
+		timeout: RemoteTimeout(instances),
 		sentTo:  map[int]uint64{},
 	}
 }
 
+func refreshInterval(instances int) time.Duration {
+	byBudget := time.Duration(instances*rowBytes) * time.Second / refreshBytesPerSecond
+	return max(minRefresh, byBudget)
+}
+
+// RemoteTimeout is how long an instance of another zone counts as alive after
+// the last word of it, in a fleet of the given number of instances.
+func RemoteTimeout(instances int) time.Duration {
+	return refreshesToTimeout * refreshInterval(instances)
+}
+
 // touch marks a row as changed, so that it is part of the next digests.
 func (s *spread) touch(m *member) {
 	s.clock++
@@ -190,7 +196,7 @@
 		Sequence:      m.sequence,
 		State:         m.state,
 		ConfigVersion: m.configVersion,
-		Successor:     m.successor,
+		Holds:         m.holds,
 		Pools:         m.pools,
 		Failed:        failed,
 	}
@@ -204,7 +210,7 @@
 		Incarnation:   c.identity.Incarnation,
 		State:         c.state,
 		ConfigVersion: c.config.Version,
-		Successor:     c.successor,
+		Holds:         c.holds(),
 		Pools:         c.ownPools(),
 	}
 	refresh := !c.now.Before(c.spread.nextRefresh)
@@ -222,7 +228,7 @@
 
 func sameRow(a, b DigestRow) bool {
 	return a.State == b.State && a.ConfigVersion == b.ConfigVersion &&
-		a.Successor == b.Successor && slices.Equal(a.Pools, b.Pools)
+		slices.Equal(a.Holds, b.Holds) && slices.Equal(a.Pools, b.Pools)
 }
 
 // ownPools returns the load of the pools this instance dispatches to.
@@ -267,7 +273,7 @@
 	m.sequence = row.Sequence
 	m.pools = row.Pools
 	m.configVersion = row.ConfigVersion
-	m.successor = row.Successor
+	m.holds = row.Holds
 	m.rowFailed = row.Failed
 	m.learnedAt = c.now
 	m.fromOutside = c.ix.instances[from].zone != c.zone
@@ -275,7 +281,6 @@
 		c.learnState(i, row.State)
 	}
 	c.spread.touch(m)
-	c.noteSuccessor(i, row)
 	c.compareConfig(from, row.ConfigVersion)
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -108,19 +108,12 @@
 	c.fire(triggerCaughtUp)
 }
 
-// Leave starts the planned stop. The successor, if any, holds this instance's
-// idempotency keys from now on.
+// Leave starts the planned stop.
 func (c *Core) Leave() {
 	c.fire(triggerLeave)
 	c.spread.touch(&c.members[c.self])
 }
 
-// SetSuccessor announces the instance that holds this instance's keys.
-func (c *Core) SetSuccessor(name string) {
-	c.successor = name
-	c.spread.touch(&c.members[c.self])
-}
-
 // Retire gives up all pools for good, as the step of a planned stop before
 // waiting for the requests in flight.
 func (c *Core) Retire() {
--- a/internal/control/successors.go
+++ b/internal/control/successors.go
@@ -1,46 +1,67 @@
 package control
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// successorLifetime is how long it is remembered who holds the keys of an
-	// instance that left; it exceeds the lifetime of the keys.
-	successorLifetime = 30 * time.Minute
-	// maxSuccessors bounds the table.
-	maxSuccessors = 4096
+	// heldLifetime is how long an instance announces the keys it took over; it
+	// exceeds the lifetime of the keys.
+	heldLifetime = 30 * time.Minute
+	// maxHeld bounds the runs whose keys one instance announces. The keys of
+	// further ones are answered as unknown by other instances.
+	maxHeld = 256
 )
 
-// successors maps processes that left to the instances that hold their keys.
-type successors map[Identity]succession
-
-type succession struct {
-	instance string
-	until    time.Time
+// held is a run whose idempotency keys this instance took over.
+type held struct {
+	run   Identity
+	until time.Time
 }
 
-// noteSuccessor remembers the successor that a leaving instance names. A full
-// table drops new entries: their keys are then answered as unknown.
-func (c *Core) noteSuccessor(i int, row *DigestRow) {
-	if row.Successor == "" {
-		return
+// Hold announces that this instance holds the idempotency keys of former runs,
+// those it took over itself and those that were handed on with them.
+func (c *Core) Hold(runs []Identity) {
+	for _, run := range runs {
+		known := slices.ContainsFunc(c.held, func(h held) bool { return h.run == run })
+		if known || len(c.held) >= maxHeld {
+			continue
+		}
+		c.held = append(c.held, held{run: run, until: c.now.Add(heldLifetime)})
 	}
-	c.addSuccessor(Identity{Instance: c.ix.instances[i].Name, Incarnation: row.Incarnation}, row.Successor)
+	c.spread.hurry()
+	c.stale = true
 }
 
-func (c *Core) addSuccessor(of Identity, instance string) {
-	if c.succeed == nil {
-		c.succeed = successors{}
-	}
-	if _, known := c.succeed[of]; !known && len(c.succeed) >= maxSuccessors {
-		return
+func (c *Core) expireHeld() {
+	c.held = slices.DeleteFunc(c.held, func(h held) bool { return !h.until.After(c.now) })
+}
+
+// holds lists the runs for the own digest row.
+func (c *Core) holds() []Identity {
+	var runs []Identity
+	for _, h := range c.held {
+		runs = append(runs, h.run)
 	}
-	c.succeed[of] = succession{instance: instance, until: c.now.Add(successorLifetime)}
+	return runs
 }
 
-func (c *Core) expireSuccessors() {
-	for of, s := range c.succeed {
-		if !s.until.After(c.now) {
-			delete(c.succeed, of)
+// successorView maps runs to the instances that hold their keys, by the newest
+// word of each. A holder that left has handed them on; one that cannot be
+// reached at the moment still holds them.
+func (c *Core) successorView() map[Identity]string {
+	view := map[Identity]string{}
+	for i := range c.members {
+		runs, state := c.members[i].holds, c.members[i].state
+		if i == c.self {
+			runs, state = c.holds(), c.state
+		}
+		for _, run := range runs {
+			if _, known := view[run]; !known || state != Left {
+				view[run] = c.ix.instances[i].Name
+			}
 		}
 	}
+	return view
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -134,14 +134,6 @@
 	return slices.Contains(ranked[:min(watcherRanks, len(ranked))], c.self)
 }
 
-func (c *Core) successorView() map[Identity]string {
-	view := make(map[Identity]string, len(c.succeed))
-	for of, s := range c.succeed {
-		view[of] = s.instance
-	}
-	return view
-}
-
 // Roles are the duties that an instance has at the moment beside that of a
 // plain member of its zone.
 type Roles struct {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -40,6 +40,8 @@
 	if err := h.entry.once.Import(from, value); err != nil {
 		return err
 	}
+	held := h.entry.once.Adopted()
+	h.entry.loop.Do(func(c *control.Core) { c.Hold(held) })
 	keys, _ := h.entry.once.Size()
 	h.entry.events.Log(event.KeysTaken, "from", from.Instance, "incarnation", from.Incarnation, "keys", keys)
 	return nil
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// announceTime is how long a leaving instance waits for its peers to leave
-	// it out of the lists that they answer, before the lists' age counts.
-	announceTime = time.Second
 	// handoverTimeout bounds one handover of the idempotency keys, and settle
 	// the wait for attempts under way before it.
 	handoverTimeout = 30 * time.Second
@@ -60,7 +57,7 @@
 // finishes what is in flight, gives up its pools and says that it left.
 func (e *entry) stop(ctx context.Context) {
 	e.loop.Do(func(c *control.Core) { c.Leave() })
-	pause(ctx, announceTime+e.bundle.Settings.Control.MaxAge)
+	pause(ctx, e.listedFor())
 	e.handOver(ctx)
 	longest := e.longestDeadline()
 	bounded, cancel := context.WithTimeout(ctx, longest)
@@ -79,6 +76,15 @@
 	e.operators.Stop(bounded)
 }
 
+// listedFor is how long callers may still hold a list that names this
+// instance: other instances leave it out when they hear of its leaving, or, when
+// they are cut off, after the silence of a remote timeout, and callers keep a
+// list for its age.
+func (e *entry) listedFor() time.Duration {
+	instances := len(e.bundle.Topology.Instances())
+	return control.RemoteTimeout(instances) + e.bundle.Settings.Control.MaxAge
+}
+
 // pause waits for a time or the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -104,7 +110,6 @@
 		return
 	}
 	e.events.Log(event.KeysHandedOver, "to", to, "keys", keys)
-	e.loop.Do(func(c *control.Core) { c.SetSuccessor(to) })
 }
 
 // successor picks the live instance that is closest.
--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -164,6 +166,13 @@
 	return nil
 }
 
+// Adopted returns the former runs whose keys this instance took over.
+func (s *Service) Adopted() []control.Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.adopted))
+}
+
 // adopt adds entries, all or none.
 func (t *table) adopt(rows []handoverEntry) error {
 	t.mu.Lock()
