--- a/cmd/lab/links.go
+++ b/cmd/lab/links.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	links, err := link.New(linkConfig(p))
+	links, err := link.New(link.ConfigOf(p))
 	if err != nil {
 		return err
 	}
@@ -38,36 +38,3 @@
 	}
 	return nil
 }
-
-// linkConfig derives delays and rates from the firm.
-func linkConfig(p *firm.Plan) link.Config {
-	config := link.Config{
-		Delay: func(from, to link.Zone) time.Duration {
-			l := p.Topology.Link(from.Region, to.Region)
-			if from.Region == to.Region || l == nil {
-				return p.World.ZoneLatency
-			}
-			return l.OneWay()
-		},
-		Rate: func(from, to string) float64 {
-			if l := p.Topology.Link(from, to); l != nil {
-				return l.BytesPerSecond()
-			}
-			return 0
-		},
-	}
-	for region, zone := range p.Topology.Zones() {
-		config.Zones = append(config.Zones, link.Zone{Name: zone.Name, Region: region.Name})
-	}
-	for _, f := range p.Forwards {
-		config.Forwards = append(config.Forwards, link.Forward{
-			From:     f.From,
-			To:       f.To,
-			Network:  f.Network,
-			Listen:   f.Listen,
-			Target:   f.Target,
-			Platform: f.Target == p.Platform,
-		})
-	}
-	return config
-}
