Tell why attempts brought no answer

Callers keep the reason and the entry of each attempt that failed; demo and fault cases print them by service, the most frequent first, and cases keep their operations in a file. Operations of a case are repeated for 16 s instead of 40, longer than any fault, as most of a case was spent on orders whose home had died.

--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -48,6 +48,8 @@
 	// Host tells callers of one zone apart: it is the place of their address in
 	// the zone's block.
 	Host int
+	// MaxOperation bounds an operation with all its attempts; 0 is 40 s.
+	MaxOperation time.Duration
 	// Stats collects the totals; several callers may share it.
 	Stats *Stats
 }
@@ -64,6 +66,9 @@
 
 // New returns a caller that has sent nothing yet.
 func New(config Config) *Caller {
+	if config.MaxOperation == 0 {
+		config.MaxOperation = maxOperation
+	}
 	if config.Stats == nil {
 		config.Stats = NewStats()
 	}
--- a/internal/lab/caller/client.go
+++ b/internal/lab/caller/client.go
@@ -52,6 +52,8 @@
 
 // Result is what a caller learned from one attempt.
 type Result struct {
+	// Entry is the address that was asked.
+	Entry   string
 	Outcome work.Outcome
 	Reason  work.Reason
 	Status  int
@@ -90,6 +92,13 @@
 
 // Send makes one attempt at the entry.
 func (c *Client) Send(ctx context.Context, address string, call *Call) Result {
+	r := c.send(ctx, address, call)
+	r.Entry = address
+	return r
+}
+
+// send makes the attempt.
+func (c *Client) send(ctx context.Context, address string, call *Call) Result {
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline+deadlineGrace)
 	defer cancel()
 	pause(ctx, c.latency(address))
--- a/internal/lab/caller/stats.go
+++ b/internal/lab/caller/stats.go
@@ -46,12 +46,46 @@
 	P99  time.Duration `json:"p99"`
 	P999 time.Duration `json:"p999"`
 	Max  time.Duration `json:"max"`
+	// Failed counts the attempts without an answer, the most frequent first.
+	Failed []FailureCount `json:"failed,omitempty"`
+}
+
+// FailureCount counts attempts that failed in the same way.
+type FailureCount struct {
+	Outcome work.Outcome `json:"outcome"`
+	Reason  work.Reason  `json:"reason"`
+	Entry   string       `json:"entry"`
+	Count   int64        `json:"count"`
 }
 
 // series is the counts of a service with the latencies.
 type series struct {
 	totals Totals
 	hist   *hdrhistogram.Histogram
+	failed map[FailureCount]int64
+}
+
+// fail counts the failures of an operation.
+func (s *series) fail(failed []Failure) {
+	for _, f := range failed {
+		s.failed[FailureCount{Outcome: f.Outcome, Reason: f.Reason, Entry: f.Entry}]++
+	}
+}
+
+// failures lists the counts.
+func (s *series) failures() []FailureCount {
+	var out []FailureCount
+	for f, n := range s.failed {
+		f.Count = n
+		out = append(out, f)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Count != out[j].Count {
+			return out[i].Count > out[j].Count
+		}
+		return out[i].Entry+string(out[i].Reason) < out[j].Entry+string(out[j].Reason)
+	})
+	return out
 }
 
 // Stats collects totals by service, of one or of several callers.
@@ -69,15 +103,21 @@
 // add applies f to the totals and the interval of a service. A positive
 // latency is recorded.
 func (s *Stats) add(service string, kind work.Kind, latency time.Duration, f func(*Totals)) {
+	s.update(service, kind, latency, nil, f)
+}
+
+// update is add with the failed attempts of an operation.
+func (s *Stats) update(service string, kind work.Kind, latency time.Duration, failed []Failure, f func(*Totals)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range []map[string]*series{s.total, s.interval} {
 		x := m[service]
 		if x == nil {
-			x = &series{totals: Totals{Service: service, Kind: kind}, hist: hdrhistogram.New(minLatency, maxLatency, digits)}
+			x = &series{totals: Totals{Service: service, Kind: kind}, hist: hdrhistogram.New(minLatency, maxLatency, digits), failed: map[FailureCount]int64{}}
 			m[service] = x
 		}
 		f(&x.totals)
+		x.fail(failed)
 		if latency > 0 {
 			_ = x.hist.RecordValue(min(latency.Microseconds(), maxLatency))
 		}
@@ -90,7 +130,7 @@
 	if op.Outcome == work.Run {
 		latency = op.End.Sub(intended)
 	}
-	s.add(op.Service, op.Kind, latency, func(t *Totals) {
+	s.update(op.Service, op.Kind, latency, op.Failed, func(t *Totals) {
 		t.Attempts += int64(op.Attempts)
 		t.Refusals += int64(len(op.NotRun))
 		t.Cut += int64(op.Cut)
@@ -121,6 +161,7 @@
 		at := func(q float64) time.Duration { return time.Duration(x.hist.ValueAtQuantile(q)) * time.Microsecond }
 		t.P50, t.P99, t.P999 = at(50), at(99), at(99.9)
 		t.Max = time.Duration(x.hist.Max()) * time.Microsecond
+		t.Failed = x.failures()
 		out = append(out, t)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -103,6 +103,9 @@
 		d.print("  %-10s %-7s sent %d, run %d, not run %d, unknown %d; p50 %s, p99 %s, p99.9 %s; attempts %d, refusals %d, broken off %d, late %d, not started %d",
 			t.Service, t.Kind, t.Sent, t.Run, t.NotRun, t.Unknown, ms(t.P50), ms(t.P99), ms(t.P999), t.Attempts, t.Refusals, t.Cut, t.Late, t.Skipped+t.NoKey)
 	}
+	for _, t := range d.load.Stats.Totals() {
+		d.failures(t)
+	}
 	for _, kind := range []verdict.Kind{verdict.Doubled, verdict.Lost, verdict.ToldNotRun, verdict.Bad, verdict.Unlabelled, verdict.Over, verdict.AfterLeaving, verdict.Unasked} {
 		d.print("  %-14s %d", kind, violations.Count(kind))
 	}
@@ -116,6 +119,13 @@
 	}
 }
 
+// failures prints why attempts of a service brought no answer.
+func (d *demo) failures(t caller.Totals) {
+	for _, cause := range caller.Causes(t, d.Plan.EntryAt) {
+		d.print("  %-10s attempts %s", t.Service, cause)
+	}
+}
+
 // say prints a line with the time since the start.
 func (d *demo) say(format string, args ...any) {
 	var at time.Duration
--- a/internal/lab/firm/plan.go
+++ b/internal/lab/firm/plan.go
@@ -97,6 +97,16 @@
 	return nil
 }
 
+// EntryAt names the entry with the callers' address, or returns the address.
+func (p *Plan) EntryAt(address string) string {
+	for _, e := range p.Entries {
+		if e.Callers == address {
+			return e.Name
+		}
+	}
+	return address
+}
+
 // Entry returns the entry with the name, or nil.
 func (p *Plan) Entry(name string) *Entry {
 	for i := range p.Entries {
--- a/internal/lab/promises/case.go
+++ b/internal/lab/promises/case.go
@@ -25,6 +25,9 @@
 	// maxDeadline is the longest deadline of the load: uploads of an ordinary
 	// day may take longer than a case.
 	maxDeadline = 8 * time.Second
+	// maxOperation is how long a caller repeats an operation: longer than the
+	// longest fault.
+	maxOperation = 16 * time.Second
 	// settle is how long the load goes on after the last fault.
 	settle = 2 * time.Second
 )
@@ -83,12 +86,15 @@
 	if err != nil {
 		return err
 	}
-	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, Twice: c.twice})
+	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, MaxOperation: maxOperation, Twice: c.twice})
 	pause(ctx, warmUp)
 	made, err := c.disturb(ctx, e)
 	c.settle(ctx, e, w, made)
 	ops := load.Stop()
-	e.report.Counts = describe(load.Stats.Totals())
+	e.describe(load.Stats.Totals())
+	if err := e.Save("operations-"+strings.ReplaceAll(c.Name, " ", "-")+".jsonl", ops); err != nil {
+		return err
+	}
 	samples := w.stop()
 	checkSamples(e.report, samples)
 	if made != nil {
--- a/internal/lab/promises/env.go
+++ b/internal/lab/promises/env.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,9 +135,10 @@
 	return nil
 }
 
-// describe sums the totals of a load.
-func describe(totals []caller.Totals) string {
+// describe notes the totals of a load in the report.
+func (e *env) describe(totals []caller.Totals) {
 	var sum caller.Totals
+	var tails []string
 	for _, t := range totals {
 		sum.Sent += t.Sent
 		sum.Run += t.Run
@@ -147,9 +149,13 @@
 		sum.Unreached += t.Unreached
 		sum.Late += t.Late
 		sum.NoKey += t.NoKey + t.Skipped
+		tails = append(tails, fmt.Sprintf("%s p99 %.0f ms", t.Kind, t.P99.Seconds()*1e3))
+		for _, cause := range caller.Causes(t, e.Plan.EntryAt) {
+			e.report.Causes = append(e.report.Causes, t.Service+" "+cause)
+		}
 	}
-	return fmt.Sprintf("sent %d run %d not-run %d unknown %d (refusals %d cut %d unreached %d late %d not started %d)",
-		sum.Sent, sum.Run, sum.NotRun, sum.Unknown, sum.Refusals, sum.Cut, sum.Unreached, sum.Late, sum.NoKey)
+	e.report.Counts = fmt.Sprintf("sent %d run %d not-run %d unknown %d (refusals %d cut %d unreached %d late %d not started %d), %s",
+		sum.Sent, sum.Run, sum.NotRun, sum.Unknown, sum.Refusals, sum.Cut, sum.Unreached, sum.Late, sum.NoKey, strings.Join(tails, ", "))
 }
 
 // pause waits for d or until ctx ends.
--- a/internal/lab/promises/promise.go
+++ b/internal/lab/promises/promise.go
@@ -51,6 +51,8 @@
 	Findings []Finding
 	// Counts describes the load in a few words.
 	Counts string
+	// Causes says why attempts brought no answer.
+	Causes []string
 	// Error is set when the case could not be carried out; nothing is proved
 	// by it then.
 	Error error
--- a/internal/lab/promises/runner.go
+++ b/internal/lab/promises/runner.go
@@ -141,6 +141,7 @@
 		r.failed++
 		fmt.Fprintf(r.Out, "NOT CARRIED OUT %s (seed %d): %v\n", report.Case, r.Seed, report.Error)
 	}
+	defer r.printCauses(report)
 	for _, p := range report.promises() {
 		findings := report.of(p)
 		word := "held"
@@ -163,3 +164,10 @@
 		}
 	}
 }
+
+// printCauses says why attempts brought no answer.
+func (r *runner) printCauses(report *Report) {
+	for _, cause := range report.Causes {
+		fmt.Fprintf(r.Out, "         attempts %s\n", cause)
+	}
+}
--- a/internal/lab/promises/shift.go
+++ b/internal/lab/promises/shift.go
@@ -44,7 +44,7 @@
 	load := e.StartLoad(ctx, trial.LoadOptions{Shares: caller.Shares{work.Lookup: shiftLoad}, Preset: e.preset(), Zones: []string{home}})
 	windows, err := e.sampleShift(ctx, service, home)
 	load.Stop()
-	e.report.Counts = describe(load.Stats.Totals())
+	e.describe(load.Stats.Totals())
 	if err != nil {
 		return err
 	}
