Add cuts of links to the fault cases and hold links to their caps

Partitions were missing from the table. The links can now lose UDP alone, which cuts instances from each other while both sides still reach the same upstreams. New faults: cuts between two zones, of a zone and of a region, both ways and one way, and from the platform; new pairs and one case of a drain, a cut and a planned stop together. After each case the bytes that passed between regions are held to the cap in every second, with the burst of each share.

--- a/internal/lab/cluster/control.go
+++ b/internal/lab/cluster/control.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/lab/link"
 	"sycamoreledge.example/internal/lab/upstream"
 	"sycamoreledge.example/internal/platform"
 )
@@ -123,6 +124,17 @@
 	return c.call(ctx, http.MethodPut, "http://"+c.Plan.Platform+"/lab/instances", list, nil)
 }
 
+// Cut changes the cuts of links.
+func (c *Cluster) Cut(ctx context.Context, change link.Change) error {
+	return c.call(ctx, http.MethodPost, "http://"+c.Plan.LinkAdmin+"/lab/links", change, nil)
+}
+
+// Links returns what passed between the zones.
+func (c *Cluster) Links(ctx context.Context) ([]link.Status, error) {
+	var all []link.Status
+	return all, c.call(ctx, http.MethodGet, "http://"+c.Plan.LinkAdmin+"/lab/links", nil, &all)
+}
+
 // Knobs are the faults of the platform to change, by their names in JSON.
 type Knobs map[string]any
 
--- a/internal/lab/link/admin.go
+++ b/internal/lab/link/admin.go
@@ -25,6 +25,9 @@
 	A   string    `json:"a"`
 	B   string    `json:"b"`
 	Cut Direction `json:"cut"`
+	// Network limits a cut to "udp", which the instances use between each
+	// other, while "tcp" to upstreams and platform goes on. Empty is both.
+	Network string `json:"network,omitempty"`
 	// DelayMs, when set, becomes the one-way delay in milliseconds.
 	DelayMs *float64 `json:"delay_ms,omitempty"`
 }
@@ -76,6 +79,9 @@
 	if !slices.Contains([]Direction{"", CutNone, CutBoth, CutForward, CutBackward}, change.Cut) {
 		return Error.New("unknown direction %q", change.Cut)
 	}
+	if change.Network != "" && change.Network != UDP {
+		return Error.New("only %q can be cut alone, not %q", UDP, change.Network)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	matched := false
@@ -90,7 +96,7 @@
 			p.delay.Store(int64(*change.DelayMs * float64(time.Millisecond)))
 		}
 		if change.Cut != "" {
-			p.cut.Store(change.Cut == CutBoth ||
+			p.setCut(change.Network, change.Cut == CutBoth ||
 				forward && change.Cut == CutForward || backward && change.Cut == CutBackward)
 		}
 	}
--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -189,7 +189,7 @@
 // is full.
 func push(way chan parcel, data []byte, p *pipe) {
 	now := time.Now()
-	if p.cut.Load() || p.overloaded(now) {
+	if p.loses() || p.overloaded(now) {
 		return
 	}
 	at, _ := p.arrival(now, len(data))
@@ -203,7 +203,7 @@
 func sendAll(way <-chan parcel, p *pipe, send func([]byte)) {
 	for next := range way {
 		time.Sleep(time.Until(next.at))
-		if !p.cut.Load() {
+		if !p.loses() {
 			send(next.data)
 		}
 	}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -135,6 +135,25 @@
 	}
 }
 
+func TestDatagramsAreCutAlone(t *testing.T) {
+	for _, network := range []string{link.TCP, link.UDP} {
+		t.Run(network, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			target := echoTCP(t)
+			if network == link.UDP {
+				target = echoUDP(t)
+			}
+			links, conn := start(t, network, target, 0)
+			g.Expect(links.Apply(link.Change{A: "a", B: "b", Cut: link.CutBoth, Network: link.UDP})).To(gomega.Succeed())
+			_, err := roundTrip(conn, 200*time.Millisecond)
+			g.Expect(err == nil).To(gomega.Equal(network == link.TCP))
+			g.Expect(links.Apply(link.Change{A: "a", B: "b", Cut: link.CutNone})).To(gomega.Succeed())
+			_, err = roundTrip(conn, 5*time.Second)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	}
+}
+
 func TestConnectionsSurviveACut(t *testing.T) {
 	g := gomega.NewWithT(t)
 	links, conn := start(t, link.TCP, echoTCP(t), 0)
@@ -167,6 +186,7 @@
 	links, _ := start(t, link.TCP, echoTCP(t), 0)
 	for name, body := range map[string]any{
 		"unknown zone":      link.Change{A: "a", B: "elsewhere", Cut: link.CutBoth},
+		"unknown network":   link.Change{A: "a", B: "b", Cut: link.CutBoth, Network: "tcp"},
 		"unknown direction": link.Change{A: "a", B: "b", Cut: "sideways"},
 		"unknown field":     map[string]string{"link": "a"},
 	} {
--- a/internal/lab/link/pipe.go
+++ b/internal/lab/link/pipe.go
@@ -20,10 +20,12 @@
 
 // pipe is one direction between two zones.
 type pipe struct {
-	delay   atomic.Int64 // nanoseconds
-	cut     atomic.Bool
-	shaper  *shaper
-	counter counter
+	delay atomic.Int64 // nanoseconds
+	cut   atomic.Bool
+	// cutDatagrams cuts UDP alone.
+	cutDatagrams atomic.Bool
+	shaper       *shaper
+	counter      counter
 }
 
 func newPipe(delay time.Duration, s *shaper) *pipe {
@@ -32,6 +34,20 @@
 	return p
 }
 
+// setCut begins or ends a cut. The end of a cut of everything also ends one of
+// UDP alone.
+func (p *pipe) setCut(network string, cut bool) {
+	if network != UDP {
+		p.cut.Store(cut)
+	}
+	if network == UDP || !cut {
+		p.cutDatagrams.Store(cut)
+	}
+}
+
+// loses reports whether datagrams vanish.
+func (p *pipe) loses() bool { return p.cut.Load() || p.cutDatagrams.Load() }
+
 func (p *pipe) latency() time.Duration { return time.Duration(p.delay.Load()) }
 
 // arrival returns when bytes that are sent now arrive, and how long they wait
--- a/internal/lab/promises/case.go
+++ b/internal/lab/promises/case.go
@@ -56,7 +56,7 @@
 	if c.special != nil {
 		return c.checks
 	}
-	list := append([]Promise{Slots, Once, NotRun, Answers, Config}, c.checks...)
+	list := append([]Promise{Slots, Once, NotRun, Answers, Config, Caps}, c.checks...)
 	for _, f := range c.faults {
 		for _, p := range f.checks {
 			if !contains(list, p) {
@@ -87,6 +87,7 @@
 		return err
 	}
 	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, MaxOperation: maxOperation, Twice: c.twice})
+	begin := time.Now()
 	pause(ctx, warmUp)
 	made, err := c.disturb(ctx, e)
 	c.settle(ctx, e, w, made)
@@ -96,6 +97,9 @@
 		return err
 	}
 	samples := w.stop()
+	if err := e.checkCaps(ctx, begin, "ordinary", "peak"); err != nil {
+		return err
+	}
 	checkSamples(e.report, samples)
 	if made != nil {
 		checkChange(e.report, e.entries(), samples, *made)
--- a/internal/lab/promises/fault.go
+++ b/internal/lab/promises/fault.go
@@ -35,7 +35,7 @@
 // place names the parts of a firm that faults hit.
 type place struct {
 	// owner and twin are the entries of the first zone with two.
-	owner, twin string
+	owner, twin, ownerZone string
 	// only is the entry of the first zone with one, in zone onlyZone.
 	only, onlyZone string
 	// far is the last region with its entries.
@@ -54,7 +54,7 @@
 		entries := byZone[zone]
 		switch {
 		case len(entries) == 2 && at.owner == "":
-			at.owner, at.twin = entries[0], entries[1]
+			at.owner, at.twin, at.ownerZone = entries[0], entries[1], zone
 		case len(entries) == 1 && at.only == "":
 			at.only, at.onlyZone = entries[0], zone
 		}
--- a/internal/lab/promises/table.go
+++ b/internal/lab/promises/table.go
@@ -4,6 +4,8 @@
 var quickCases = map[string]bool{
 	"kill-only-entry":          true,
 	"freeze-owner":             true,
+	"cut-between-peers":        true,
+	"cut-region":               true,
 	"planned-stop":             true,
 	"platform-down":            true,
 	"platform-loses-answers":   true,
@@ -40,12 +42,22 @@
 	{"upstreams-restart", "freeze-owner"},
 	{"kill-region", "platform-down"},
 	{"kill-region", "upstreams-lie"},
+	{"cut-zones", "kill-owner"},
+	{"cut-zones", "platform-down"},
+	{"cut-between-peers", "freeze-owner"},
+	{"cut-between-peers", "planned-stop"},
+	{"cut-region", "platform-down"},
+	{"cut-region", "kill-only-entry"},
+	{"cut-region-one-way", "upstreams-answer-late"},
+	{"cut-zone-off", "freeze-owner"},
+	{"drain-zone", "cut-region", "planned-stop"},
+	{"drain-upstream", "cut-zones"},
 }
 
 // twiceNames are the faults that come again shortly after.
 var twiceNames = []string{
 	"kill-owner", "kill-only-entry", "freeze-owner", "freeze-only-entry", "planned-stop", "platform-down",
-	"platform-loses-answers", "upstreams-restart", "drain-upstream",
+	"platform-loses-answers", "upstreams-restart", "drain-upstream", "cut-zones", "cut-region", "cut-between-peers",
 }
 
 // Cases returns the whole table: each fault alone, in pairs, twice, and the
@@ -78,6 +90,7 @@
 // faults lists every fault.
 func faults() []fault {
 	all := entryFaults()
+	all = append(all, cutFaults()...)
 	all = append(all, platformFaults()...)
 	all = append(all, upstreamFaults()...)
 	return append(all, drainFaults()...)
