Replay traces in slow motion where the machine is busy

Cause: at their own pace the traces ask for 2,400 requests a second through all processes; beside other work on the machine the replay itself was up to 225 ms late with its sends, and a fifth of the lookups were refused.

--- a/cmd/lab/measure.go
+++ b/cmd/lab/measure.go
@@ -59,6 +59,7 @@
 	System []string `help:"Systems to run beside the ideal." default:"steer,baseline" enum:"steer,baseline"`
 	Out    string   `help:"Directory of the results." default:"out/measure" type:"path"`
 	Seed   uint64   `help:"Seed of the service times." default:"1"`
+	Pace   float64  `help:"Seconds that a second of the traces lasts, for a machine that is too small or busy for their own pace." default:"1"`
 	Quick  bool     `help:"Replay a choice of the traces."`
 	Keep   string   `help:"Directory for settings and logs; by default a temporary one that is removed." type:"path"`
 }
@@ -93,7 +94,7 @@
 	}
 	defer remove()
 	o := measure.Options{
-		Options: trial.Options{Firm: filepath.Join(c.Deploy, name), Bin: filepath.Dir(self), Dir: dir, Seed: c.Seed},
+		Options: trial.Options{Firm: filepath.Join(c.Deploy, name), Bin: filepath.Dir(self), Dir: dir, Seed: c.Seed, Dilate: c.Pace},
 		Traces:  filepath.Join(c.Traces, name),
 		Names:   traces,
 		Probes:  true,
@@ -115,7 +116,7 @@
 		return err
 	}
 	result.Judge(outcomes, measure.Capacity(f))
-	fmt.Printf("\n## %s (seed %d, %s, load average %v)\n\n%s\n", name, c.Seed, result.Took, result.LoadBusy, result.Markdown())
+	fmt.Printf("\n## %s (seed %d, pace %g, %s, load average %v)\n\n%s\n", name, c.Seed, c.Pace, result.Took, result.LoadBusy, result.Markdown())
 	return c.save(name, result)
 }
 
--- a/internal/lab/measure/events.go
+++ b/internal/lab/measure/events.go
@@ -24,7 +24,7 @@
 	h := &happening{}
 	h.all.Go(func() {
 		for _, e := range t.Events {
-			if !sleepUntil(ctx, start.Add(e.At)) {
+			if !sleepUntil(ctx, start.Add(stretch(e.At, s.pace))) {
 				return
 			}
 			h.one(ctx, s, e)
--- a/internal/lab/measure/once.go
+++ b/internal/lab/measure/once.go
@@ -21,13 +21,15 @@
 // OnceRow is what orders of one kind of key cost.
 type OnceRow struct {
 	// Keys is "home" for keys of the system and "claim" for the callers' own.
-	Keys   string        `json:"keys"`
-	Outage bool          `json:"outage"`
-	Sent   int           `json:"sent"`
-	Run    int           `json:"run"`
-	NotRun int           `json:"not_run"`
-	P50    time.Duration `json:"p50"`
-	P99    time.Duration `json:"p99"`
+	Keys   string `json:"keys"`
+	Outage bool   `json:"outage"`
+	Sent   int    `json:"sent"`
+	Run    int    `json:"run"`
+	NotRun int    `json:"not_run"`
+	// Unknown orders may have been run as far as the caller was told.
+	Unknown int           `json:"unknown"`
+	P50     time.Duration `json:"p50"`
+	P99     time.Duration `json:"p99"`
 	// Writes are those on the platform for one order, beside what an idle
 	// system writes in the same time.
 	Writes float64 `json:"writes"`
@@ -86,7 +88,7 @@
 		row.Keys = "claim"
 	}
 	s.pass++
-	r, err := newReplay(s.orderTrace(own), s.trial.Plan, s.pass)
+	r, err := newReplay(s.orderTrace(own), s.trial.Plan, s.pass, s.pace)
 	if err != nil {
 		return row, err
 	}
@@ -107,11 +109,13 @@
 			run = append(run, x.Latency)
 		case work.NotRun:
 			row.NotRun++
+		default:
+			row.Unknown++
 		}
 	}
 	sorted(run)
 	row.P50, row.P99 = quantile(run, 0.5), quantile(run, 0.99)
-	row.Writes = max(0, float64(writes)-idle*onceFor.Seconds()) / float64(max(1, row.Sent))
+	row.Writes = max(0, float64(writes)-idle*s.pace*onceFor.Seconds()) / float64(max(1, row.Sent))
 	return row, nil
 }
 
--- a/internal/lab/measure/replay.go
+++ b/internal/lab/measure/replay.go
@@ -21,7 +21,8 @@
 type Sample struct {
 	Outcome work.Outcome
 	Reason  work.Reason
-	// Latency is from the time in the trace to the end of the answer.
+	// Latency is from the time in the trace to the end of the answer, in the
+	// time of the trace.
 	Latency time.Duration
 	// Behind is how late the replay itself was with the send.
 	Behind time.Duration
@@ -36,6 +37,8 @@
 	preset  *settings.Preset
 	callers []*caller.Caller
 	random  *rand.Rand
+	// pace is how many seconds a second of the trace lasts.
+	pace float64
 	// pass makes the keys of this pass differ from those of others.
 	pass    int
 	start   time.Time
@@ -44,13 +47,14 @@
 }
 
 // newReplay prepares a pass over a trace.
-func newReplay(t *trace.Trace, p *firm.Plan, pass int) (*replay, error) {
+func newReplay(t *trace.Trace, p *firm.Plan, pass int, pace float64) (*replay, error) {
 	r := &replay{
 		trace:   t,
 		plan:    p,
 		preset:  p.Preset(t.Preset),
 		random:  rand.New(rand.NewPCG(t.Seed, uint64(pass))),
 		pass:    pass,
+		pace:    pace,
 		samples: make([]Sample, len(t.Sends)),
 		ops:     make([]*caller.Op, len(t.Sends)),
 	}
@@ -70,7 +74,7 @@
 	r.start = start
 	var all sync.WaitGroup
 	for i := range r.trace.Sends {
-		at := start.Add(r.trace.Sends[i].At)
+		at := start.Add(stretch(r.trace.Sends[i].At, r.pace))
 		if !sleepUntil(ctx, at) {
 			break
 		}
@@ -106,7 +110,7 @@
 	r.samples[i] = Sample{
 		Outcome: op.Outcome,
 		Reason:  op.Reason,
-		Latency: op.End.Sub(at),
+		Latency: stretch(op.End.Sub(at), 1/r.pace),
 		Behind:  behind,
 		Told:    op.Cut == 0 && op.Unlabelled == 0,
 	}
@@ -123,6 +127,11 @@
 	return out
 }
 
+// stretch multiplies a duration.
+func stretch(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
 // sleepUntil returns at the time, or earlier and false when ctx ends.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	d := time.Until(at)
--- a/internal/lab/measure/run.go
+++ b/internal/lab/measure/run.go
@@ -68,6 +68,8 @@
 	Started  time.Time `json:"started"`
 	Took     string    `json:"took"`
 	LoadBusy []string  `json:"load_average"`
+	// Pace is how many seconds a second of the traces lasted.
+	Pace     float64   `json:"pace"`
 	Rows     []Row     `json:"rows"`
 	Replays  []Replay  `json:"replays"`
 	Overhead *Overhead `json:"overhead,omitempty"`
@@ -80,12 +82,22 @@
 	Options
 	result  *Result
 	systems []*system
+	// firm is as declared, in the time of the traces.
+	firm *firm.Firm
 }
 
 // Run measures a firm.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	m := &run{Options: o, result: &Result{Firm: filepath.Base(o.Firm), Seed: o.Seed, Started: time.Now()}}
 	defer m.end()
+	if m.Dilate == 0 {
+		m.Dilate = 1
+	}
+	m.result.Pace = m.Dilate
+	var err error
+	if m.firm, err = firm.Load(o.Firm); err != nil {
+		return nil, err
+	}
 	if err := m.start(ctx); err != nil {
 		return nil, err
 	}
@@ -141,12 +153,7 @@
 
 // warm sends load that is not measured, so that all upstreams are warm.
 func (m *run) warm(ctx context.Context, s *system) error {
-	f, err := firm.Load(m.Firm)
-	if err != nil {
-		return err
-	}
-	t := trace.Record(f, trace.WarmUp(), m.Seed)
-	_, err = m.replay(ctx, s, t)
+	_, err := m.replay(ctx, s, trace.Record(m.firm, trace.WarmUp(), m.Seed))
 	return err
 }
 
@@ -161,18 +168,25 @@
 		if err != nil {
 			return err
 		}
-		m.result.Rows = append(m.result.Rows, rows(s.name, t, samples, s.deadline(t))...)
+		m.result.Rows = append(m.result.Rows, rows(s.name, t, samples, m.deadline(t))...)
 	}
-	p := m.systems[0].trial.Plan
-	c := ideal.Config{Topology: &p.Topology, World: &p.World, Seed: m.Seed, Deadline: m.systems[0].deadline(t)}
+	c := ideal.Config{Topology: &m.firm.Topology, World: &m.firm.World, Seed: m.Seed, Deadline: m.deadline(t)}
 	m.result.Rows = append(m.result.Rows, rows(Ideal, t, idealSamples(ideal.Run(c, t)), c.Deadline)...)
 	return nil
 }
 
 // deadline returns the deadlines of the services in the trace's preset.
-func (s *system) deadline(t *trace.Trace) func(string) time.Duration {
-	preset := s.trial.Plan.Preset(t.Preset)
-	return func(service string) time.Duration { return preset.Service(service).Deadline }
+func (m *run) deadline(t *trace.Trace) func(string) time.Duration {
+	byService := map[string]time.Duration{}
+	for i := range m.firm.Presets {
+		if m.firm.Presets[i].Name != t.Preset {
+			continue
+		}
+		for _, s := range m.firm.Presets[i].Services {
+			byService[s.Name] = s.Deadline
+		}
+	}
+	return func(service string) time.Duration { return byService[service] }
 }
 
 // replay replays a trace under one system, then ends its faults and drains.
@@ -181,7 +195,7 @@
 		return nil, err
 	}
 	s.pass++
-	r, err := newReplay(t, s.trial.Plan, s.pass)
+	r, err := newReplay(t, s.trial.Plan, s.pass, s.pace)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/measure/system.go
+++ b/internal/lab/measure/system.go
@@ -35,6 +35,8 @@
 	stopped  []string
 	preset   string
 	pass     int
+	// pace is how many seconds a second of a trace lasts.
+	pace float64
 }
 
 // startSystem starts one of the real systems.
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{name: name, trial: t, faults: map[string]upstream.Fault{}}
+	s := &system{name: name, trial: t, faults: map[string]upstream.Fault{}, pace: o.Dilate}
 	if name == Baseline {
 		return s, nil
 	}
@@ -72,7 +74,7 @@
 	case trace.Slow:
 		return nil, s.fault(ctx, e.Name, func(f *upstream.Fault) { f.SlowFactor = e.Factor })
 	case trace.Lag:
-		lag := time.Duration(e.Factor * float64(time.Second))
+		lag := time.Duration(e.Factor * s.pace * float64(time.Second))
 		return nil, s.fault(ctx, e.Name, func(f *upstream.Fault) { f.HealthLag, f.LoadLag = lag, lag })
 	case trace.Restart:
 		return nil, s.trial.Cluster.RestartUpstream(ctx, e.Name)
--- a/internal/lab/measure/table.go
+++ b/internal/lab/measure/table.go
@@ -141,13 +141,13 @@
 
 // onceTable shows what orders cost.
 func (r *Result) onceTable() string {
-	t := &table{head: []string{"Keys", "Platform", "Sent", "Run", "Refused", "p50 ms", "p99 ms", "Writes per order"}}
+	t := &table{head: []string{"Keys", "Platform", "Sent", "Run", "Not run", "Unknown", "p50 ms", "p99 ms", "Writes per order"}}
 	for _, x := range r.Once.Rows {
 		state := "up"
 		if x.Outage {
 			state = "down"
 		}
-		t.add(x.Keys, state, fmt.Sprint(x.Sent), fmt.Sprint(x.Run), fmt.Sprint(x.NotRun), millis(x.P50), millis(x.P99), fmt.Sprintf("%.3f", x.Writes))
+		t.add(x.Keys, state, fmt.Sprint(x.Sent), fmt.Sprint(x.Run), fmt.Sprint(x.NotRun), fmt.Sprint(x.Unknown), millis(x.P50), millis(x.P99), fmt.Sprintf("%.3f", x.Writes))
 	}
 	return t.String()
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -150,8 +150,8 @@
 
 // section is the part of the page about one firm.
 func section(r *measure.Result, files string) string {
-	return fmt.Sprintf("\n## %s\n\nSeed %d, %s, took %s. Load average of the machine before and after: %s.\n\n%s\n"+
+	return fmt.Sprintf("\n## %s\n\nSeed %d, a second of the traces lasted %g s, %s, took %s. Load average of the machine before and after: %s.\n\n%s\n"+
 		"All rows: [%s.csv](%s/%s.csv).\n\n![p99 of lookups](%s/%s-p99.png)\n\n![Latency of an ordinary day](%s/%s-ordinary.png)\n",
-		r.Firm, r.Seed, r.Started.UTC().Format(time.DateTime+" UTC"), r.Took, strings.Join(r.LoadBusy, ", "), r.Markdown(),
+		r.Firm, r.Seed, r.Pace, r.Started.UTC().Format(time.DateTime+" UTC"), r.Took, strings.Join(r.LoadBusy, ", "), r.Markdown(),
 		r.Firm, files, r.Firm, files, r.Firm, files, r.Firm)
 }
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -29,6 +29,8 @@
 	WithoutPlatform bool
 	// Baseline runs the plain proxy in place of the entries.
 	Baseline bool
+	// Dilate stretches the time of the firm when above 0; see firm.Dilate.
+	Dilate float64
 	// KeyLifetime replaces the lifetime of issued keys when above 0.
 	KeyLifetime time.Duration
 }
@@ -52,6 +54,9 @@
 	if o.KeyLifetime > 0 {
 		f.Settings.Traffic.KeyLifetime = o.KeyLifetime
 	}
+	if o.Dilate > 0 {
+		f.Dilate(o.Dilate)
+	}
 	p, err := firm.Generate(o.Dir, f)
 	if err != nil {
 		return nil, err
