Call a replay invalid when its sends are late

Cause: figures of a starved machine looked like figures of the system. Change: a replay whose 99th percentile of lateness is above 5 ms in the time of the trace is invalid; targets of time that rest on it say so and are not reached. Promises are still judged. make measure writes the page by itself; a quick run compares two traces with the plain proxy and leaves out the orders' probe. Ruled out: dropping late replays, which would hide them.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,9 @@
 	bin/lab promises --firm $(FIRM) $(if $(QUICK),--quick)
 
 # The recorded traces against real processes, beside a plain proxy and an ideal
-# queue. QUICK=1 replays a choice of them within five minutes. The results go to
-# out/measure; "bin/lab report" writes docs/MEASURES.md from the last ones.
+# queue, then docs/MEASURES.md with its CSV and plots. QUICK=1 replays a choice
+# within five minutes. PACE is how many seconds a second of the traces lasts.
+PACE ?= $(if $(QUICK),1,2)
 measure: build
-	bin/lab measure $(if $(QUICK),--quick)
+	bin/lab measure --pace $(PACE) $(if $(QUICK),--quick)
+	bin/lab report
--- a/cmd/lab/measure.go
+++ b/cmd/lab/measure.go
@@ -17,6 +17,12 @@
 // quickTraces are those of a quick run, which ends within five minutes.
 var quickTraces = []string{trace.Ordinary, trace.Neighbours, trace.Uploads, trace.Peak}
 
+// comparedTraces are those that the plain proxy replays in a quick run.
+var comparedTraces = []string{trace.Ordinary, trace.Neighbours}
+
+// none stands in place of the names of traces for the probes alone.
+const none = "none"
+
 // allTraces are in the order of their replay: those that move zones come last.
 var allTraces = append(append([]string(nil), quickTraces...), trace.Maintenance, trace.Shift)
 
@@ -55,7 +61,7 @@
 	Firm   []string `help:"Names of the firms." default:"lantern-mount,wijesekera"`
 	Deploy string   `help:"Directory of the firms." default:"deploy" type:"existingdir"`
 	Traces string   `help:"Directory of the traces." default:"testdata/traces" type:"existingdir"`
-	Trace  []string `help:"Names of the traces to replay; by default all."`
+	Trace  []string `help:"Names of the traces to replay; by default all. none leaves only the probes."`
 	System []string `help:"Systems to run beside the ideal." default:"steer,baseline" enum:"steer,baseline"`
 	Out    string   `help:"Directory of the results." default:"out/measure" type:"path"`
 	Seed   uint64   `help:"Seed of the service times." default:"1"`
@@ -68,6 +74,8 @@
 func (c *measureCmd) Run(ctx context.Context) error {
 	names := c.Trace
 	switch {
+	case len(names) == 1 && names[0] == none:
+		names = nil
 	case len(names) > 0:
 	case c.Quick:
 		names = quickTraces
@@ -97,9 +105,12 @@
 		Options: trial.Options{Firm: filepath.Join(c.Deploy, name), Bin: filepath.Dir(self), Dir: dir, Seed: c.Seed, Dilate: c.Pace},
 		Traces:  filepath.Join(c.Traces, name),
 		Names:   traces,
-		Probes:  true,
+		Once:    !c.Quick,
 		Out:     os.Stdout,
 	}
+	if c.Quick {
+		o.Compared = comparedTraces
+	}
 	for _, s := range c.System {
 		o.Systems = append(o.Systems, measure.System(s))
 	}
--- a/internal/lab/measure/measure_test.go
+++ b/internal/lab/measure/measure_test.go
@@ -105,6 +105,11 @@
 		g.Expect(r.Targets[1].String()).To(gomega.Equal("NOT reached"), "overhead")
 	}
 	g := gomega.NewWithT(t)
+	r.Replays[0].Behind = maxBehind + 1
+	r.Judge([]*Outcome{{Trace: "t", Limits: []Limit{cases[0].limit, cases[10].limit}}}, capacity)
+	g.Expect(r.Targets[0].String()).To(gomega.Equal("invalid, sends late"))
+	g.Expect(r.Targets[0].Reached()).To(gomega.BeFalse())
+	g.Expect(r.Targets[1].String()).To(gomega.Equal("NOT reached"), "promises hold on a busy machine too")
 	g.Expect(r.Missed()).To(gomega.ContainElement(gomega.ContainSubstring("overhead")))
 	g.Expect(r.Markdown()).To(gomega.ContainSubstring("NOT reached"))
 }
--- a/internal/lab/measure/once.go
+++ b/internal/lab/measure/once.go
@@ -149,6 +149,9 @@
 		if m.result.Overhead, err = s.overhead(ctx); err != nil {
 			m.say("the overhead was not measured: %v", err)
 		}
+		if !m.Once {
+			continue
+		}
 		if m.result.Once, err = s.once(ctx); err != nil {
 			return err
 		}
--- a/internal/lab/measure/run.go
+++ b/internal/lab/measure/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,9 +35,11 @@
 	Names []string
 	// Systems are the real ones to run.
 	Systems []System
-	// Probes adds the overhead of an entry and the cost of at most once.
-	Probes bool
-	Out    io.Writer
+	// Compared are the traces that the baseline replays; none means all.
+	Compared []string
+	// Once adds the cost of running orders at most once.
+	Once bool
+	Out  io.Writer
 }
 
 // Replay is what one replay of a trace brought beside its rows.
@@ -55,7 +58,8 @@
 	Cut int `json:"cut"`
 	// Reasons counts what was not run or unknown.
 	Reasons map[work.Reason]int `json:"reasons,omitempty"`
-	// Behind is the 99th percentile of how late the replay was with its sends.
+	// Behind is the 99th percentile of how late the replay was with its sends,
+	// in the time of the trace.
 	Behind time.Duration `json:"behind"`
 	// Problems are events of the trace that could not be carried out.
 	Problems []string `json:"problems,omitempty"`
@@ -77,6 +81,14 @@
 	Targets  []Target  `json:"targets"`
 }
 
+// maxBehind bounds Behind in a valid replay. Beyond it the machine was too busy
+// to send what the trace asks for, and the latencies say more of the machine
+// than of the system.
+const maxBehind = 5 * time.Millisecond
+
+// Valid reports whether the replay was on time with its sends.
+func (r *Replay) Valid() bool { return r.Behind <= maxBehind }
+
 // run is a measurement under way.
 type run struct {
 	Options
@@ -112,10 +124,8 @@
 			return nil, err
 		}
 	}
-	if o.Probes {
-		if err := m.probe(ctx); err != nil {
-			return nil, err
-		}
+	if err := m.probe(ctx); err != nil {
+		return nil, err
 	}
 	m.result.LoadBusy = append(m.result.LoadBusy, loadAverage())
 	m.result.Took = time.Since(m.result.Started).Round(time.Second).String()
@@ -164,6 +174,9 @@
 		return err
 	}
 	for _, s := range m.systems {
+		if s.name == Baseline && !m.withBaseline(name) {
+			continue
+		}
 		samples, err := m.replay(ctx, s, t)
 		if err != nil {
 			return err
@@ -175,6 +188,11 @@
 	return nil
 }
 
+// withBaseline reports whether the plain proxy replays a trace too.
+func (m *run) withBaseline(name string) bool {
+	return len(m.Compared) == 0 || slices.Contains(m.Compared, name)
+}
+
 // deadline returns the deadlines of the services in the trace's preset.
 func (m *run) deadline(t *trace.Trace) func(string) time.Duration {
 	byService := map[string]time.Duration{}
@@ -257,7 +275,7 @@
 	r.Reasons = map[work.Reason]int{}
 	var behind []time.Duration
 	for _, s := range p.samples {
-		behind = append(behind, s.Behind)
+		behind = append(behind, stretch(s.Behind, 1/p.pace))
 		if s.Outcome != work.Run {
 			r.Reasons[s.Reason]++
 		}
@@ -270,7 +288,7 @@
 
 // summary is one line about a replay.
 func (r *Replay) summary() string {
-	parts := []string{fmt.Sprintf("%.1f cores, %d MB, %.1f%% extra, sends %s late", r.Processor, r.Memory>>20, 100*r.Attempts.Extra(), ms(r.Behind))}
+	parts := []string{fmt.Sprintf("%s, %.1f cores, %d MB, %.1f%% extra, sends %s late", r.validity(), r.Processor, r.Memory>>20, 100*r.Attempts.Extra(), ms(r.Behind))}
 	if len(r.Reasons) > 0 {
 		parts = append(parts, fmt.Sprint("not run or unknown ", r.Reasons))
 	}
@@ -283,6 +301,14 @@
 	return strings.Join(append(parts, r.Problems...), "; ")
 }
 
+// validity says whether the figures count.
+func (r *Replay) validity() string {
+	if r.Valid() {
+		return "valid"
+	}
+	return "INVALID"
+}
+
 // loadAverage is that of the machine over a minute.
 func loadAverage() string {
 	data, err := os.ReadFile("/proc/loadavg")
--- a/internal/lab/measure/table.go
+++ b/internal/lab/measure/table.go
@@ -125,7 +125,7 @@
 		}
 		t.add(p.Trace, string(p.System), strings.Join(free, ", "), fmt.Sprintf("%.2f", p.Processor), fmt.Sprint(p.Memory>>20),
 			fmt.Sprintf("%.2f%%", 100*p.Attempts.Extra()), fmt.Sprint(p.Violations[verdict.Doubled]), fmt.Sprint(p.Violations[verdict.Lost]),
-			fmt.Sprint(p.Violations[verdict.Over]), fmt.Sprint(p.Cut), strings.Join(drains, "; "), ms(p.Behind))
+			fmt.Sprint(p.Violations[verdict.Over]), fmt.Sprint(p.Cut), strings.Join(drains, "; "), ms(p.Behind)+", "+p.validity())
 	}
 	return t.String()
 }
--- a/internal/lab/measure/target.go
+++ b/internal/lab/measure/target.go
@@ -22,14 +22,16 @@
 	Unit    string `json:"unit,omitempty"`
 	// Beside is what the other systems reached, where known.
 	Beside map[System]float64 `json:"beside,omitempty"`
-	// Missing is set when the run holds no figure for it.
+	// Missing is set when the run holds no figure for it, Invalid when a
+	// replay that it rests on was late with its sends.
 	Missing bool `json:"missing,omitempty"`
+	Invalid bool `json:"invalid,omitempty"`
 }
 
 // Reached reports whether the value keeps the limit.
 func (t *Target) Reached() bool {
 	switch {
-	case t.Missing:
+	case t.Missing, t.Invalid:
 		return false
 	case t.AtLeast:
 		return t.Value >= t.Limit
@@ -43,6 +45,8 @@
 	switch {
 	case t.Missing:
 		return "not run"
+	case t.Invalid:
+		return "invalid, sends late"
 	case t.Reached():
 		return "reached"
 	default:
@@ -82,6 +86,7 @@
 	}
 	value, ok := r.value(Steer, name, l, capacity)
 	t.Value, t.Missing = value, !ok
+	t.Invalid = l.timed() && (r.late(Steer, name) || (l.Against == string(Baseline) && r.late(Baseline, name)))
 	for _, s := range []System{Baseline, Ideal} {
 		if string(s) == l.Against {
 			continue
@@ -93,6 +98,22 @@
 	return t
 }
 
+// timed reports whether the measure depends on the machine's speed. Promises
+// hold on any machine.
+func (l *Limit) timed() bool {
+	return l.Measure.ofRow() && l.Measure != Unknown
+}
+
+// late reports whether a replay of a trace was late with its sends.
+func (r *Result) late(s System, name string) bool {
+	for i := range r.Replays {
+		if p := &r.Replays[i]; p.System == s && p.Trace == name && !p.Valid() {
+			return true
+		}
+	}
+	return false
+}
+
 // name describes the limit.
 func (l *Limit) name() string {
 	parts := []string{string(l.Measure)}
