--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,7 @@
 measure: build
 	bin/lab measure --pace $(PACE) $(if $(QUICK),--quick)
 	bin/lab report
+
+# What an instance costs as the declared fleet grows, up to 2,400 instances.
+capacity: build
+	bin/lab capacity
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -25,6 +25,7 @@
 	Record    recordCmd    `cmd:"" help:"Record the traces of a firm anew."`
 	Measure   measureCmd   `cmd:"" help:"Replay the traces against real processes and print the figures."`
 	Report    reportCmd    `cmd:"" help:"Write the figures of the last measurements as tables, CSV and plots."`
+	Capacity  capacityCmd  `cmd:"" help:"Measure what an instance costs as the fleet grows."`
 }
 
 // runDir names the directory that generate wrote.
