Let the plain proxy pause longer between rounds of refusals

Cause: under load its workers asked full upstreams again every 10 ms: 176,232 refusals in 30 s, which no operator would allow and which took processor time from everything else on the machine. Change: the pause doubles from 10 to 80 ms. Ruled out: a refusal after one round, which would turn queueing into errors.

--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -29,8 +29,9 @@
 	// maxQueue bounds the requests that wait.
 	maxQueue = 1000
 	// shedPause is the time before another round over upstreams that all
-	// refused.
-	shedPause = 10 * time.Millisecond
+	// refused; it doubles up to maxShedPause.
+	shedPause    = 10 * time.Millisecond
+	maxShedPause = 80 * time.Millisecond
 	// generous is how many workers there are for each slot.
 	generous = 2
 	// lookupAttempts bounds the attempts at a lookup that broke.
@@ -142,7 +143,7 @@
 // run sends a request to one upstream after the other until one takes it.
 func (x *Proxy) run(j *job) *work.Response {
 	p := x.pools[j.req.Service]
-	broken := 0
+	broken, wait := 0, shedPause
 	for j.ctx.Err() == nil {
 		for range max(1, p.live()) {
 			target, ok := p.choose()
@@ -160,7 +161,8 @@
 				}
 			}
 		}
-		pause(j.ctx, shedPause)
+		pause(j.ctx, wait)
+		wait = min(2*wait, maxShedPause)
 	}
 	return work.Refuse(work.ReasonDeadline, time.Second)
 }
