--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -151,10 +151,10 @@
 				return work.Refuse(work.ReasonNoUpstream, time.Second)
 			}
 			r := x.attempt(j, target)
-			switch {
-			case r.Outcome == work.Run:
+			switch r.Outcome {
+			case work.Run:
 				return r
-			case r.Outcome == work.Unknown:
+			case work.Unknown:
 				broken++
 				if !j.req.Kind.Idempotent() || broken >= lookupAttempts {
 					return r
--- a/internal/lab/trace/text.go
+++ b/internal/lab/trace/text.go
@@ -233,7 +233,8 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	defer f.Close()
+	// An error of closing a file that was only read changes nothing.
+	defer func() { _ = f.Close() }()
 	z, err := gzip.NewReader(f)
 	if err != nil {
 		return nil, Error.New("%s: %w", path, err)
