Take the key policy out of the settings

Cause: traffic.policy named a baseline that the daemon never had; the plain proxy of the lab stands in its place. Ruled out: a key that is read and ignored. Measured: tests of settings, firm and the command line pass.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,4 @@
 	MaxKeyBytes int64 `yaml:"max_key_bytes" default:"268435456" validate:"min=1"`
 	// ProbeInterval is the time between health probes of one upstream.
 	ProbeInterval time.Duration `yaml:"probe_interval" default:"500ms" validate:"min=10000000"`
-	// Policy selects the steering policy; "baseline" is the plain comparison.
-	Policy string `yaml:"policy" default:"steer" validate:"oneof=steer baseline"`
 }
