--- a/internal/lab/ideal/ideal.go
+++ b/internal/lab/ideal/ideal.go
@@ -131,7 +131,7 @@
 		s.slow = e.Factor
 	case trace.Restart:
 		s.times.Restart()
-	case trace.DrainUpstream:
+	case trace.DrainUpstream, trace.Leave:
 		s.away = true
 	case trace.Undrain:
 		s.away = false
--- a/internal/lab/ideal/ideal_test.go
+++ b/internal/lab/ideal/ideal_test.go
@@ -75,6 +75,7 @@
 		"slowed":   {Action: trace.Slow, Name: "one", Factor: 5},
 		"cold":     {Action: trace.Restart, Name: "one"},
 		"drained":  {Action: trace.DrainUpstream, Name: "one"},
+		"leaving":  {Action: trace.Leave, Name: "one"},
 		"occupied": {At: time.Hour, Action: trace.Slow, Name: "one", Factor: 5},
 	} {
 		g := gomega.NewWithT(t)
--- a/internal/lab/measure/once.go
+++ b/internal/lab/measure/once.go
@@ -88,7 +88,11 @@
 		row.Keys = "claim"
 	}
 	s.pass++
-	r, err := newReplay(s.orderTrace(own), s.trial.Plan, s.pass, s.pace)
+	t := s.orderTrace(own)
+	if err := s.prepare(ctx, t); err != nil {
+		return row, err
+	}
+	r, err := newReplay(t, s.trial.Plan, s.pass, s.pace)
 	if err != nil {
 		return row, err
 	}
--- a/internal/lab/measure/run.go
+++ b/internal/lab/measure/run.go
@@ -235,6 +235,9 @@
 	result.Free = h.free()
 	result.Attempts = attempts(ctx, s.trial.Plan).since(before)
 	s.trial.Note(r.finished()...)
+	if err := r.writeFailures(s.trial.Plan.Dir, t.Name); err != nil {
+		return nil, err
+	}
 	if err := s.reset(ctx); err != nil {
 		result.Problems = append(result.Problems, err.Error())
 	}
--- a/internal/lab/measure/system.go
+++ b/internal/lab/measure/system.go
@@ -76,6 +76,8 @@
 	case trace.Lag:
 		lag := time.Duration(e.Factor * s.pace * float64(time.Second))
 		return nil, s.fault(ctx, e.Name, func(f *upstream.Fault) { f.HealthLag, f.LoadLag = lag, lag })
+	case trace.Leave:
+		return nil, s.fault(ctx, e.Name, func(f *upstream.Fault) { f.Leaving = true })
 	case trace.Restart:
 		return nil, s.trial.Cluster.RestartUpstream(ctx, e.Name)
 	case trace.Use:
--- a/internal/lab/trace/text.go
+++ b/internal/lab/trace/text.go
@@ -219,7 +219,7 @@
 		e.Factor = factor
 	}
 	switch e.Action {
-	case Slow, Lag, Restart, Use, DrainZone, DrainUpstream, Undrain, Stop:
+	case Slow, Lag, Restart, Leave, Use, DrainZone, DrainUpstream, Undrain, Stop:
 		t.Events = append(t.Events, e)
 		return nil
 	default:
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -73,6 +73,8 @@
 	Lag Action = "lag"
 	// Restart makes an upstream cold.
 	Restart Action = "restart"
+	// Leave lets an upstream announce that it stops.
+	Leave Action = "leave"
 	// Use puts the preset with the name in force.
 	Use Action = "use"
 	// DrainZone and DrainUpstream keep new work away; Undrain ends the drain
