Keep decoding errors apart from the end of a body

The fuzzer found that an empty CBOR payload gives an error that wraps io.EOF, which elsewhere means that a body is whole. The cause is no longer wrapped.

--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -168,7 +168,8 @@
 // decode reads a CBOR value.
 func decode(data []byte, value any) error {
 	if err := decoding.Unmarshal(data, value); err != nil {
-		return errMalformed.Wrap(err)
+		// The cause is not wrapped: it may be io.EOF, which ends bodies.
+		return errMalformed.New("%v", err)
 	}
 	return nil
 }
