Send keep-alive packets less often than heartbeats

A standing connection sent a keep-alive packet every 250 ms even where heartbeats pass every 300 ms. The pause is now 0.4 of the idle timeout.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -102,9 +102,11 @@
 	// have arrived, or its loss be noticed, before its connection is closed as
 	// unused.
 	minUnusedIdles = 4
-	// keepAliveDivisor sets how many keep-alive packets go out in one idle
-	// timeout.
-	keepAliveDivisor = 4
+	// keepAliveFraction is the silence, as a fraction of the idle timeout,
+	// after which a keep-alive packet goes out. It is longer than the interval
+	// of heartbeats, which make keep-alive packets needless, and leaves time
+	// for a second one.
+	keepAliveFraction = 0.4
 	// controlStreams is how many large control messages a peer may have
 	// under way on one connection.
 	controlStreams = 16
@@ -197,7 +199,7 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           config.Timing.Dial,
 		MaxIdleTimeout:                 config.Timing.Idle,
-		KeepAlivePeriod:                config.Timing.Idle / keepAliveDivisor,
+		KeepAlivePeriod:                time.Duration(keepAliveFraction * float64(config.Timing.Idle)),
 		InitialStreamReceiveWindow:     streamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
