--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -107,6 +107,7 @@
 }
 
 func expectBody(g gomega.Gomega, resp *work.Response, want string) {
+	g.Expect(resp.Body).NotTo(gomega.BeNil(), "outcome %v, reason %s", resp.Outcome, resp.Reason)
 	data, err := io.ReadAll(resp.Body)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(resp.Body.Close()).To(gomega.Succeed())
