Report reloaded keys without holding the lock of the source

OnReload ran under the lock, so that a report which asks the source for its name or expiry would have waited for ever. The test failed by time-out before the change.

--- a/internal/pki/pki_test.go
+++ b/internal/pki/pki_test.go
@@ -298,9 +298,11 @@
 	now := start
 	k := newKit(t, newAuthority(t, start), "a", start)
 	var reports []error
+	var source *pki.Source
 	source, err := pki.NewSource(k.Files, pki.Options{
-		Now:      func() time.Time { return now },
-		OnReload: func(err error) { reports = append(reports, err) },
+		Now: func() time.Time { return now },
+		// The report may use the source.
+		OnReload: func(err error) { reports = append(reports, err, nameError(source)) },
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(os.WriteFile(k.Key, []byte("broken"), 0o600)).To(gomega.Succeed())
@@ -308,8 +310,14 @@
 	name, err := source.Name()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(name).To(gomega.Equal("a"))
-	g.Expect(reports).To(gomega.HaveLen(1))
+	g.Expect(reports).To(gomega.HaveLen(2))
 	g.Expect(reports[0]).To(gomega.HaveOccurred())
+	g.Expect(reports[1]).NotTo(gomega.HaveOccurred())
+}
+
+func nameError(source *pki.Source) error {
+	_, err := source.Name()
+	return err
 }
 
 func TestOperatorsReachOnlyTheirAuthority(t *testing.T) {
--- a/internal/pki/source.go
+++ b/internal/pki/source.go
@@ -86,26 +86,34 @@
 
 // current returns the newest usable keys.
 func (s *Source) current() *keys {
+	present, tried, err := s.refresh()
+	if tried && s.options.OnReload != nil {
+		s.options.OnReload(err)
+	}
+	return present
+}
+
+// refresh loads the files if they changed. It reports whether it tried, and the
+// reason why they were not taken.
+func (s *Source) refresh() (present *keys, tried bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	if now.Sub(s.checked) < reloadInterval {
-		return s.keys
+		return s.keys, false, nil
 	}
 	s.checked = now
 	found := readStamp(s.files)
 	if found == s.stamp {
-		return s.keys
+		return s.keys, false, nil
 	}
 	s.stamp = found
 	loaded, err := load(s.files)
-	if err == nil {
-		s.keys = loaded
-	}
-	if s.options.OnReload != nil {
-		s.options.OnReload(err)
+	if err != nil {
+		return s.keys, true, err
 	}
-	return s.keys
+	s.keys = loaded
+	return s.keys, true, nil
 }
 
 func readStamp(files Files) stamp {
