Pause between dials of a peer that refuses this instance

A peer that does not accept this instance says so only after the dialing side's handshake. The connection counted as a success, so that each request or heartbeat made a handshake anew. A dialed connection on which the peer was never heard and which it refused now counts as a failed dial, and the pauses grow. The test failed before: one further handshake right after the sixth refusal.

A second test runs requests against a peer that hangs up on each connection; it passed before the change too.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -16,6 +16,8 @@
 	node   *Node
 	quic   *quic.Conn
 	class  class
+	// dialed is set on connections that this end has made.
+	dialed bool
 	// heard is set once the peer has sent anything after the handshake. Before
 	// that a failure of the handshake proves that the peer handled nothing.
 	heard atomic.Bool
@@ -26,8 +28,8 @@
 	lastUsed time.Time
 }
 
-func newConn(r *remote, q *quic.Conn, kind class) *conn {
-	return &conn{remote: r, node: r.node, quic: q, class: kind, lastUsed: time.Now()}
+func newConn(r *remote, q *quic.Conn, kind class, dialed bool) *conn {
+	return &conn{remote: r, node: r.node, quic: q, class: kind, dialed: dialed, lastUsed: time.Now()}
 }
 
 // acquire counts a stream in use. It fails on a connection that is being
@@ -98,11 +100,22 @@
 	loops.Go(c.acceptDatagrams)
 	loops.Go(c.acceptControl)
 	loops.Wait()
+	cause := context.Cause(c.quic.Context())
+	if c.dialed {
+		c.settle(cause)
+	}
 	c.remote.remove(c)
-	c.node.report(Event{
-		Kind: Disconnected, Peer: c.remote.name, Address: c.address(),
-		Err: context.Cause(c.quic.Context()),
-	})
+	c.node.report(Event{Kind: Disconnected, Peer: c.remote.name, Address: c.address(), Err: cause})
+}
+
+// settle decides whether the dial has succeeded in the end. A peer that does
+// not accept this instance says so only after the handshake.
+func (c *conn) settle(cause error) {
+	if !c.heard.Load() && c.notHandled(cause) {
+		c.remote.failed(c.class, Error.Wrap(cause))
+		return
+	}
+	c.remote.succeeded(c.class)
 }
 
 func (c *conn) acceptRequests() {
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -6,8 +6,10 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
 
 	"sycamoreledge.example/internal/peer"
+	"sycamoreledge.example/internal/pki"
 	"sycamoreledge.example/internal/work"
 )
 
@@ -62,3 +64,62 @@
 	g.Expect(a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))).
 		To(gomega.Equal(work.Uncertain(work.ReasonPeerBroken)))
 }
+
+// TestRefusingPeerIsDialedAfterGrowingPauses sends requests to a peer that
+// refuses this instance after each handshake, until the pause is at least half
+// a second long.
+func TestRefusingPeerIsDialedAfterGrowingPauses(t *testing.T) {
+	const handshakes = 6
+	g := gomega.NewWithT(t)
+	f := makeQUICFixture(t)
+	config := f.config("b", 1, handler{serve: echo})
+	config.Peers = map[string]string{"c": "127.0.0.1:1"}
+	f.startWith(config)
+	a := f.startWith(f.config("a", 1, handler{}))
+	request := func() {
+		resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
+		g.Expect(resp).To(gomega.Equal(work.Refuse(work.ReasonPeerUnreachable, 0)))
+	}
+	g.Eventually(func() uint64 {
+		request()
+		return a.Stats().Events[peer.Disconnected]
+	}, testTimeout).Should(gomega.BeNumerically(">=", handshakes))
+	g.Eventually(func() int { return a.Stats().Connections }, testTimeout).Should(gomega.BeZero())
+	connected := a.Stats().Events[peer.Connected]
+	request()
+	g.Expect(a.Stats().Events[peer.Connected]).To(gomega.Equal(connected))
+}
+
+// TestPeerThatHangsUpHoldsNobodyUp runs requests against a peer that closes
+// each connection as soon as it stands.
+func TestPeerThatHangsUpHoldsNobodyUp(t *testing.T) {
+	const workers, requests = 8, 50
+	g := gomega.NewWithT(t)
+	f := makeQUICFixture(t)
+	transport := &quic.Transport{Conn: f.gates["b"]}
+	listener, err := transport.Listen(
+		f.source("b", f.authority).PeerServer(func(string) bool { return true }, pki.Protocol), &quic.Config{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = transport.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept(context.Background())
+			if err != nil {
+				return
+			}
+			_ = conn.CloseWithError(3, "not a declared instance")
+		}
+	}()
+	a := f.start("a", 1, handler{})
+	answers := make(chan *work.Response)
+	for range workers {
+		go func() {
+			for range requests {
+				answers <- a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
+			}
+		}()
+	}
+	for range workers * requests {
+		g.Expect(<-answers).To(gomega.Equal(work.Refuse(work.ReasonPeerUnreachable, 0)))
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -308,7 +308,7 @@
 	if state.NegotiatedProtocol == protocolBulk {
 		kind = classBulk
 	}
-	n.peers[name].add(c, kind)
+	n.peers[name].add(c, kind, false)
 }
 
 // unusedChecks is how often, in one Timing.Unused, connections are examined.
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -109,17 +109,7 @@
 		r.node.report(Event{Kind: DialFailed, Peer: r.name, Address: r.address, Err: err})
 		return
 	}
-	r.add(c, kind)
-	r.dialed(kind)
-}
-
-// dialed ends a successful attempt. Those who wait are told in any case: the
-// connection may already be gone again.
-func (r *remote) dialed(kind class) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lanes[kind].dialing = false
-	r.lanes[kind].signal()
+	r.add(c, kind, true)
 }
 
 func (r *remote) dialOnce(ctx context.Context, kind class) (*quic.Conn, error) {
@@ -153,19 +143,33 @@
 	return pause/2 + rand.N(pause/2)
 }
 
-// add registers a connection in either direction and serves it.
-func (r *remote) add(q *quic.Conn, kind class) {
-	c := newConn(r, q, kind)
+// succeeded ends the count of failed dials.
+func (r *remote) succeeded(kind class) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lanes[kind].failures = 0
+	r.lanes[kind].retryAt = time.Time{}
+}
+
+// add registers a connection, which this end has dialed or accepted, and
+// serves it.
+func (r *remote) add(q *quic.Conn, kind class, dialed bool) {
+	c := newConn(r, q, kind, dialed)
 	r.mu.Lock()
+	l := &r.lanes[kind]
+	if dialed {
+		l.dialing = false
+	}
 	if r.closed {
 		r.mu.Unlock()
 		_ = q.CloseWithError(codeShutdown, "shutdown")
 		return
 	}
-	l := &r.lanes[kind]
 	l.conns = append(l.conns, c)
-	l.failures = 0
-	l.retryAt = time.Time{}
+	if !dialed {
+		l.failures = 0
+		l.retryAt = time.Time{}
+	}
 	l.signal()
 	r.node.tasks.Go(c.serve)
 	r.mu.Unlock()
