Serve operators by hertz, and keep net/http for callers

The cause is that hertz reads the first 8 KB of a body, or a shorter one whole, before it calls the handler. A smaller limit of the body size was ruled out: its read then takes bytes of a following pipelined request. So callers keep net/http.

Commands of operators are small and are read whole, and hertz serves them. Its read timeout bounds single reads only; a guarded listener bounds the whole header and body, the connections, and knows when an answer has left, so that a planned stop cuts none. A panic of a command is answered in words.

--- a/internal/api/auth.go
+++ b/internal/api/auth.go
@@ -57,8 +57,8 @@
 }
 
 // require passes requests of operators on, with the operator's name.
-func (a *authenticator) require(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func (a *authenticator) require(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		address := hostOf(r.RemoteAddr)
 		if a.limited(address) {
 			a.events.Log(event.OperatorLimited, "address", address)
@@ -74,8 +74,8 @@
 			writeError(w, http.StatusUnauthorized, wire.CodeUnauthorized, "the credential is missing or not valid")
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
-	})
+		next(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
+	}
 }
 
 func (a *authenticator) authenticate(r *http.Request) (string, bool) {
--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -78,7 +78,7 @@
 	}
 	s := &Callers{opts: opts, mux: http.NewServeMux()}
 	s.route()
-	s.http = newHTTPServer(ln, nil, opts.Events, s)
+	s.http = newHTTPServer(ln, opts.Events, s)
 	return s
 }
 
--- a/internal/api/changes.go
+++ b/internal/api/changes.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"sycamoreledge.example/internal/api/wire"
 	"sycamoreledge.example/internal/event"
@@ -29,7 +28,7 @@
 // name of the operator, the events and the answer.
 func (s *Operators) change(action string, make changeFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		req, body, err := readChange(w, r)
+		req, body, err := readChange(r)
 		if err != nil {
 			s.writeFailure(w, err)
 			return
@@ -46,7 +45,6 @@
 		if s.opts.Accepted != nil {
 			s.opts.Accepted(result.Config)
 		}
-		extendWrite(w) // the change may have taken long
 		writeJSON(w, http.StatusOK, changed(req, result))
 	}
 }
@@ -65,7 +63,7 @@
 	}
 }
 
-func readChange(w http.ResponseWriter, r *http.Request) (presets.Request, []byte, error) {
+func readChange(r *http.Request) (presets.Request, []byte, error) {
 	req := presets.Request{Operation: r.Header.Get(wire.HeaderOperation), Operator: operatorOf(r)}
 	if req.Operation == "" {
 		return req, nil, badRequest{"a change needs the header field " + wire.HeaderOperation}
@@ -77,8 +75,7 @@
 		}
 		req.IfVersion = version
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(changeReadTime)) //nolint:errcheck // a failed read shows it
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return req, nil, badRequest{"the body cannot be read: " + err.Error()}
 	}
@@ -159,7 +156,6 @@
 
 // writeFailure answers with the status and code that fit the error.
 func (s *Operators) writeFailure(w http.ResponseWriter, err error) {
-	extendWrite(w)
 	var bad badRequest
 	var invalid invalidPreset
 	var conflict *presets.ConflictError
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+
 	"sycamoreledge.example/internal/api/wire"
 	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/event"
@@ -55,14 +57,12 @@
 const (
 	// maxChangeBytes bounds the body of a change.
 	maxChangeBytes = 1 << 20
-	// changeReadTime bounds the time in which the body of a change arrives.
-	changeReadTime = 10 * time.Second
 )
 
 // Operators is the HTTPS server for operators.
 type Operators struct {
 	opts  OperatorsOptions
-	http  *httpServer
+	http  *operatorServer
 	auth  *authenticator
 	shown shownVersion
 }
@@ -73,8 +73,8 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	s := &Operators{opts: opts, auth: newAuthenticator(opts)}
-	s.http = newHTTPServer(ln, opts.TLS, opts.Events, s.auth.require(s.routes()))
+	s := &Operators{opts: opts, auth: newAuthenticator(opts), http: newOperatorServer(ln, opts.TLS, opts.Events)}
+	s.route()
 	return s
 }
 
@@ -85,21 +85,23 @@
 // context ends, and returns the number of those that were cut off.
 func (s *Operators) Stop(ctx context.Context) int { return s.http.stop(ctx) }
 
-func (s *Operators) routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/status", s.status)
-	mux.HandleFunc("GET /v1/presets", s.listPresets)
-	mux.HandleFunc("GET /v1/presets/{name}", s.showPreset)
-	mux.HandleFunc("GET /v1/history", s.history)
-	mux.HandleFunc("PUT /v1/presets/{name}", s.change(presets.ActionApply, s.applyPreset))
-	mux.HandleFunc("POST /v1/in-force", s.change(presets.ActionUse, s.usePreset))
-	mux.HandleFunc("POST /v1/drains", s.change(presets.ActionDrain, s.addDrain))
-	mux.HandleFunc("DELETE /v1/drains", s.change(presets.ActionUndrain, s.removeDrain))
-	mux.HandleFunc("POST /v1/leave", s.leave)
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+func (s *Operators) route() {
+	engine := s.http.engine
+	handle := func(next http.HandlerFunc) app.HandlerFunc {
+		return s.http.handle(s.auth.require(next))
+	}
+	engine.GET("/v1/status", handle(s.status))
+	engine.GET("/v1/presets", handle(s.listPresets))
+	engine.GET("/v1/presets/:name", handle(s.showPreset))
+	engine.GET("/v1/history", handle(s.history))
+	engine.PUT("/v1/presets/:name", handle(s.change(presets.ActionApply, s.applyPreset)))
+	engine.POST("/v1/in-force", handle(s.change(presets.ActionUse, s.usePreset)))
+	engine.POST("/v1/drains", handle(s.change(presets.ActionDrain, s.addDrain)))
+	engine.DELETE("/v1/drains", handle(s.change(presets.ActionUndrain, s.removeDrain)))
+	engine.POST("/v1/leave", handle(s.leave))
+	engine.NoRoute(handle(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, http.StatusNotFound, wire.CodeNotFound, "there is no such command")
-	})
-	return mux
+	}))
 }
 
 // leave begins the planned stop of this instance. A repeat has no effect.
--- a/internal/api/operators_test.go
+++ b/internal/api/operators_test.go
@@ -1,6 +1,7 @@
 package api_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -373,6 +374,27 @@
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+func TestPanicOfACommandIsToldAndLogged(t *testing.T) {
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Explain = func() []string { panic("a defect") }
+	})
+	c := b.client(operatorToken)
+	_, err := c.Status(t.Context(), true)
+	b.expectCode(err, http.StatusInternalServerError, wire.CodeInternal)
+	b.Expect(b.events.Count(event.HandlerPanic)).To(gomega.BeEquivalentTo(1))
+	_, err = c.Status(t.Context(), false)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func TestOversizedChangeIsRefused(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	large := append([]byte(peakPreset), bytes.Repeat([]byte("# large\n"), 200_000)...)
+	_, err := b.client(operatorToken).Apply(t.Context(), operation("op"), "peak", large)
+	b.Expect(err).To(gomega.HaveOccurred())
+	b.Expect(b.config.Load().Presets).NotTo(gomega.HaveKey("peak"))
+	b.Expect(b.events.Count(event.OperatorCommand)).To(gomega.BeZero())
+}
+
 func TestOnlyHTTPSIsSpoken(t *testing.T) {
 	b := newOperatorsBench(t, nil)
 	got := exchange(t, b.address, "GET /v1/status HTTP/1.1", "Authorization: Bearer "+operatorToken)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"log"
@@ -16,8 +15,8 @@
 )
 
 const (
-	// headerTimeout bounds the time in which the header of a request, and the
-	// TLS handshake before it, must arrive.
+	// headerTimeout bounds the time in which the header of a request must
+	// arrive; for operators also the TLS handshake before it and the body.
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes a connection on which no request arrives.
 	idleTimeout = 90 * time.Second
@@ -32,7 +31,10 @@
 	maxConnections = 8192
 )
 
-// httpServer is what the callers' and the operators' server share.
+// httpServer is the server of the callers' interface. It is the standard
+// library's: hertz calls a handler only when the first 8 KB of a body, or a
+// shorter body whole, have arrived, so that short uploads would not stream, and
+// a stalled one could be neither refused early nor ended with its deadline.
 type httpServer struct {
 	server   *http.Server
 	listener net.Listener
@@ -41,13 +43,9 @@
 	stopping atomic.Bool
 }
 
-// newHTTPServer returns a server for the listener, which it owns. With secure
-// set it speaks HTTPS.
-func newHTTPServer(ln net.Listener, secure *tls.Config, events *event.Logger, handler http.Handler) *httpServer {
+// newHTTPServer returns a server for the listener, which it owns.
+func newHTTPServer(ln net.Listener, events *event.Logger, handler http.Handler) *httpServer {
 	s := &httpServer{listener: newLimitedListener(ln, maxConnections), events: events}
-	if secure != nil {
-		s.listener = tls.NewListener(s.listener, secure)
-	}
 	s.server = &http.Server{
 		Handler:           s.guarded(handler),
 		ReadHeaderTimeout: headerTimeout,
