--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -10,12 +10,20 @@
 type Message struct {
 	// From and Incarnation are set by the sender's core; the transport checks
 	// From against the authenticated peer.
-	From        string     `cbor:"1,keyasint"`
-	Incarnation uint64     `cbor:"2,keyasint"`
-	Heartbeat   *Heartbeat `cbor:"3,keyasint,omitempty"`
-	Digest      *Digest    `cbor:"5,keyasint,omitempty"`
-	Config      *Config    `cbor:"6,keyasint,omitempty"`
-	Release     *Release   `cbor:"7,keyasint,omitempty"`
+	From        string            `cbor:"1,keyasint"`
+	Incarnation uint64            `cbor:"2,keyasint"`
+	Heartbeat   *Heartbeat        `cbor:"3,keyasint,omitempty"`
+	Digest      *Digest           `cbor:"5,keyasint,omitempty"`
+	Config      *Config           `cbor:"6,keyasint,omitempty"`
+	Release     *Release          `cbor:"7,keyasint,omitempty"`
+	Leaving     *LeavingUpstreams `cbor:"8,keyasint,omitempty"`
+}
+
+// LeavingUpstreams names the upstreams of the sender's zone, and of the zones that it
+// adopts, that the platform lists as leaving. Watchers send it to the other
+// members of their zone, which do not read the list.
+type LeavingUpstreams struct {
+	Upstreams []string `cbor:"1,keyasint"`
 }
 
 // Config carries the whole dynamic configuration to a peer that has an older
@@ -33,10 +41,10 @@
 	Echo          int64         `cbor:"2,keyasint,omitempty"`
 	State         InstanceState `cbor:"3,keyasint"`
 	ConfigVersion int64         `cbor:"4,keyasint"`
-	// Grant permits the receiver to use all slots of its zone's pools for one
-	// lease after Echo: the sender has not adopted them and will not before
-	// the grant has run out.
-	Grant bool `cbor:"5,keyasint,omitempty"`
+	// Grants lists the pools of the receiver's zone of which it may use all
+	// slots for one lease after Echo: the sender has not adopted them and will
+	// not before the grant has run out.
+	Grants []int `cbor:"5,keyasint,omitempty"`
 	// Owned lists the pools that the sender dispatches to, and adopted ones
 	// that it gave back with requests still in flight, as indexes into the
 	// pools of the topology in declared order.
@@ -61,7 +69,8 @@
 	Sequence      uint64        `cbor:"3,keyasint"`
 	State         InstanceState `cbor:"4,keyasint"`
 	ConfigVersion int64         `cbor:"5,keyasint"`
-	Successor     string        `cbor:"6,keyasint,omitempty"`
+	// Holds are the former runs whose idempotency keys the instance holds.
+	Holds []Identity `cbor:"6,keyasint,omitempty"`
 	// Pools are the pools that the instance dispatches to.
 	Pools []PoolStatus `cbor:"7,keyasint,omitempty"`
 	// Failed is set by the instance's zone when it no longer hears it. An
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -95,8 +95,10 @@
 // leavingUpstreams joins the platform's list and the operators' drains.
 func (c *Core) leavingUpstreams() map[string]bool {
 	leaving := map[string]bool{}
-	for name := range c.leaving {
-		leaving[name] = true
+	for _, list := range c.leaving {
+		for _, name := range list.upstreams {
+			leaving[name] = true
+		}
 	}
 	for _, drain := range c.config.Drains {
 		if drain.Kind == settings.DrainUpstream {
@@ -132,10 +134,25 @@
 	return slices.Contains(ranked[:min(watcherRanks, len(ranked))], c.self)
 }
 
-func (c *Core) successorView() map[Identity]string {
-	view := make(map[Identity]string, len(c.succeed))
-	for of, s := range c.succeed {
-		view[of] = s.instance
+// Roles are the duties that an instance has at the moment beside that of a
+// plain member of its zone.
+type Roles struct {
+	// Owner: dispatches to a pool.
+	Owner bool
+	// Watcher: watches the platform for its zone.
+	Watcher bool
+	// Speaker: exchanges digests with other zones.
+	Speaker bool
+	// Adopter: grants the reserved slots of another zone, and would adopt it.
+	Adopter bool
+}
+
+// Roles returns the present duties of this instance.
+func (c *Core) Roles() Roles {
+	return Roles{
+		Owner:   slices.ContainsFunc(c.pools, func(p ownedPool) bool { return p.owned }),
+		Watcher: c.watcher(),
+		Speaker: slices.Contains(c.speakers(c.zone), c.self),
+		Adopter: slices.ContainsFunc(c.wards, func(w ward) bool { return w.holder }),
 	}
-	return view
 }
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -3,8 +3,13 @@
 package trial
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -26,6 +31,10 @@
 	Firm, Bin, Dir  string
 	Seed            uint64
 	WithoutPlatform bool
+	// Baseline runs the plain proxy in place of the entries.
+	Baseline bool
+	// KeyLifetime replaces the lifetime of issued keys when above 0.
+	KeyLifetime time.Duration
 }
 
 // Trial is a running firm with a history of what was asked of it.
@@ -44,15 +53,45 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.KeyLifetime > 0 {
+		f.Settings.Traffic.KeyLifetime = o.KeyLifetime
+	}
 	p, err := firm.Generate(o.Dir, f)
 	if err != nil {
 		return nil, err
 	}
-	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform})
+	c, err := cluster.Start(ctx, cluster.Options{Bin: o.Bin, Plan: p, Seed: o.Seed, WithoutPlatform: o.WithoutPlatform, Baseline: o.Baseline})
 	if err != nil {
 		return nil, err
 	}
-	return &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}, nil
+	t := &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}
+	if o.WithoutPlatform {
+		return t, nil
+	}
+	if err := t.ApplyPresets(ctx); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return t, nil
+}
+
+// ApplyPresets stores the presets of the firm on the platform, where
+// instances start with one alone.
+func (t *Trial) ApplyPresets(ctx context.Context) error {
+	operator, err := t.Operator("first")
+	if err != nil {
+		return err
+	}
+	for _, preset := range t.Plan.Presets {
+		text, err := os.ReadFile(t.Plan.PresetFile(preset.Name))
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if _, err := operator.Apply(ctx, client.Change{Operation: client.NewOperation()}, preset.Name, text); err != nil {
+			return Error.New("preset %s: %w", preset.Name, err)
+		}
+	}
+	return nil
 }
 
 // Operator returns the client of an operator that asks the entries in order.
@@ -77,6 +116,8 @@
 	Preset *settings.Preset
 	// Zones are those with callers; none means all.
 	Zones []string
+	// MaxDeadline shortens the deadlines when above 0.
+	MaxDeadline time.Duration
 	// Twice is the share of the operations sent through two entries at once.
 	Twice float64
 }
@@ -104,6 +145,9 @@
 		loads := caller.StandardLoads(t.Plan, o.Preset, zone, o.Shares)
 		for j := range loads {
 			loads[j].Twice = o.Twice
+			if o.MaxDeadline > 0 {
+				loads[j].Deadline = min(loads[j].Deadline, o.MaxDeadline)
+			}
 		}
 		seed := t.Seed<<20 ^ t.loads<<8 ^ uint64(i)
 		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, Stats: l.Stats})
@@ -125,6 +169,18 @@
 	return ops
 }
 
+// Save writes operations as lines of JSON into the directory of the run.
+func (t *Trial) Save(name string, ops []*caller.Op) error {
+	var lines bytes.Buffer
+	out := json.NewEncoder(&lines)
+	for _, op := range ops {
+		if err := out.Encode(op); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return Error.Wrap(os.WriteFile(filepath.Join(t.Plan.Dir, name), lines.Bytes(), 0o600))
+}
+
 // Note adds operations that were not sent by a Load.
 func (t *Trial) Note(ops ...*caller.Op) { t.history.Add(ops) }
 
