Log errors in one line

Errors of the error library print their stack over many lines when they are logged as values. The logger now takes the message, with line breaks as semicolons. The test failed in all three formats before.

go test -race ./internal/event passes.

--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/event"
 )
@@ -92,6 +93,22 @@
 	}
 }
 
+func TestErrorsTakeOneLineWithoutAStack(t *testing.T) {
+	for _, format := range []string{"text", "logfmt", "json"} {
+		t.Run(format, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var out bytes.Buffer
+			l, err := event.New(&out, event.Options{Format: format})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			l.Log(event.PeerLost, "peer", "e2", "error", errs.New("first line\nsecond line"))
+			l.Close(time.Second)
+			g.Expect(strings.Count(out.String(), "\n")).To(gomega.Equal(1), out.String())
+			g.Expect(out.String()).To(gomega.ContainSubstring("first line; second line"))
+			g.Expect(out.String()).NotTo(gomega.ContainSubstring("event_test.go"))
+		})
+	}
+}
+
 func TestUnknownOptionsAreErrors(t *testing.T) {
 	g := gomega.NewWithT(t)
 	_, err := event.New(&bytes.Buffer{}, event.Options{Format: "xml"})
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -121,13 +122,25 @@
 	const ownFields = 6
 	pairs := make([]any, 0, len(fields)+ownFields)
 	pairs = append(pairs, "event", int(state.definition.ID), "name", state.definition.Name)
-	pairs = append(pairs, fields...)
+	for _, field := range fields {
+		pairs = append(pairs, plain(field))
+	}
 	if suppressed > 0 {
 		pairs = append(pairs, "suppressed", suppressed)
 	}
 	return pairs
 }
 
+// plain returns the message of an error in one line, instead of the form with
+// a stack that some errors print.
+func plain(field any) any {
+	err, ok := field.(error)
+	if !ok || err == nil {
+		return field
+	}
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
+}
+
 // Enabled reports whether the event would be written at the present level, so
 // that callers can leave out costly fields.
 func (l *Logger) Enabled(id ID) bool {
