Tell a failed dial from a lost connection

In a trial with three of eight instances, 92 lines of peer_lost in 35 s were failed dials to instances that were not there. Nil values are left out of lines, which read error=<nil> before.

go test -race ./internal/event passes.

--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -109,6 +109,16 @@
 	}
 }
 
+func TestNilValuesAreLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	l, err := event.New(&out, event.Options{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l.Log(event.PeerLost, "error", nil, "peer", "e2")
+	l.Close(time.Second)
+	g.Expect(out.String()).To(gomega.HaveSuffix("name=peer_lost peer=e2\n"))
+}
+
 func TestUnknownOptionsAreErrors(t *testing.T) {
 	g := gomega.NewWithT(t)
 	_, err := event.New(&bytes.Buffer{}, event.Options{Format: "xml"})
--- a/internal/event/ids.go
+++ b/internal/event/ids.go
@@ -81,6 +81,7 @@
 	PeerLost            ID = 606
 	PeerImpostor        ID = 607
 	PeerOverLimit       ID = 608
+	PeerUnreachable     ID = 609
 )
 
 // Events of the area traffic and upstreams.
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -96,7 +96,7 @@
 }
 
 // Log counts an event and writes it with its fields, which are keys of the
-// catalogue each followed by its value. Of an event that repeats quickly only
+// catalogue each followed by its value; a nil value is left out. Of an event that repeats quickly only
 // some are written; the next one written tells how many were suppressed.
 func (l *Logger) Log(id ID, fields ...any) {
 	if l == nil {
@@ -122,8 +122,10 @@
 	const ownFields = 6
 	pairs := make([]any, 0, len(fields)+ownFields)
 	pairs = append(pairs, "event", int(state.definition.ID), "name", state.definition.Name)
-	for _, field := range fields {
-		pairs = append(pairs, plain(field))
+	for i := 0; i+1 < len(fields); i += 2 {
+		if fields[i+1] != nil {
+			pairs = append(pairs, fields[i], plain(fields[i+1]))
+		}
 	}
 	if suppressed > 0 {
 		pairs = append(pairs, "suppressed", suppressed)
@@ -135,7 +137,7 @@
 // a stack that some errors print.
 func plain(field any) any {
 	err, ok := field.(error)
-	if !ok || err == nil {
+	if !ok {
 		return field
 	}
 	return strings.ReplaceAll(err.Error(), "\n", "; ")
