Let a silent instance cost an operator little

With the platform frozen, a change took 15 s and ended as 'may have taken effect': the client gave up after 5 s, just when each instance would have answered that the platform is unreachable and nothing was changed. A call now has 8 s, a connection 1 s and a handshake 2 s, and two instances that answer with a failure of theirs end the command.

go test -race ./internal/client ./cmd/sycamoreledge passes.

--- a/cmd/sycamoreledge/cli.go
+++ b/cmd/sycamoreledge/cli.go
@@ -31,7 +31,7 @@
 	Authority      string        `help:"PEM file with the firm's authority." placeholder:"FILE" env:"SYCAMORELEDGE_AUTHORITY"`
 	TokenFile      string        `help:"File with the operator's token; the token itself may stand in SYCAMORELEDGE_TOKEN." placeholder:"FILE" env:"SYCAMORELEDGE_TOKEN_FILE"`
 	ClientSettings string        `help:"YAML file with endpoints, authority and token_file." placeholder:"FILE" env:"SYCAMORELEDGE_CLIENT_SETTINGS"`
-	Timeout        time.Duration `help:"Bound of one call to one instance." default:"5s"`
+	Timeout        time.Duration `help:"Bound of one call to one instance." default:"8s"`
 }
 
 // changeFlags are the flags of commands that change the configuration.
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,8 +33,16 @@
 )
 
 const (
-	// DefaultTimeout bounds one call to one instance.
-	DefaultTimeout = 5 * time.Second
+	// DefaultTimeout bounds one call to one instance. It is longer than an
+	// instance tries to carry out a change, whose outcome is known then.
+	DefaultTimeout = 8 * time.Second
+	// connectTimeout and handshakeTimeout bound the opening of a connection, so
+	// that an instance that is stopped or frozen costs little.
+	connectTimeout   = time.Second
+	handshakeTimeout = 2 * time.Second
+	// maxFailedAnswers is how many instances may answer with a failure of
+	// theirs, such as the platform's outage, before the command gives up.
+	maxFailedAnswers = 2
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 16 << 20
 	operationBytes = 16
@@ -102,7 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: secure}}
+	c.http = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     secure,
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		TLSHandshakeTimeout: handshakeTimeout,
+	}}
 	return c, nil
 }
 
@@ -151,6 +164,7 @@
 // them twice has the effect of once.
 func (c *Client) do(ctx context.Context, request call, answer any) error {
 	var failed error
+	answered := 0
 	for _, endpoint := range c.endpoints {
 		err := c.doAt(ctx, endpoint, request, answer)
 		if err == nil {
@@ -163,10 +177,22 @@
 			return err
 		}
 		failed = preferAnswer(failed, err)
+		if isAnswer(err) {
+			answered++
+		}
+		if answered == maxFailedAnswers {
+			break
+		}
 	}
 	return failed
 }
 
+// isAnswer reports whether an error came from an instance.
+func isAnswer(err error) bool {
+	var api *APIError
+	return errors.As(err, &api)
+}
+
 // worthAnother reports whether another instance may succeed.
 func worthAnother(err error) bool {
 	var api *APIError
@@ -179,11 +205,10 @@
 // preferAnswer keeps the error that says most: an instance's answer before the
 // failure to reach one.
 func preferAnswer(old, latest error) error {
-	var api *APIError
-	if old == nil || errors.As(latest, &api) {
+	if old == nil || isAnswer(latest) {
 		return latest
 	}
-	if errors.As(old, &api) {
+	if isAnswer(old) {
 		return old
 	}
 	return Unreachable.Wrap(errs.Combine(unwrapped(old), unwrapped(latest)))
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -140,6 +141,31 @@
 	g.Expect(live.requests).To(gomega.BeEmpty(), "the credential is not sent")
 }
 
+func TestSilentInstanceCostsLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and never answers
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = silent.Close() })
+	live := newInstance(t, 200, wire.Status{Instance: "e2"})
+	c := newClient(t, trust(live), silent.Addr().String(), live.URL)
+	start := time.Now()
+	status, err := c.Status(t.Context(), false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status.Instance).To(gomega.Equal("e2"))
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", client.DefaultTimeout))
+}
+
+func TestTwoFailedAnswersAreEnough(t *testing.T) {
+	g := gomega.NewWithT(t)
+	down := wire.Error{Code: wire.CodeUnavailable, Message: "the platform is unreachable"}
+	a, b, third := newInstance(t, 503, down), newInstance(t, 503, down), newInstance(t, 503, down)
+	c := newClient(t, trust(a), a.URL, closedEndpoint(t), b.URL, third.URL)
+	_, err := c.Use(t.Context(), client.Change{Operation: "op"}, "peak")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(b.requests).To(gomega.HaveLen(1))
+	g.Expect(third.requests).To(gomega.BeEmpty())
+}
+
 func TestConflictShowsTheWinner(t *testing.T) {
 	g := gomega.NewWithT(t)
 	winner := wire.Conflict{Base: 8, Current: 9, Won: []settings.AuditRecord{{Operator: "ada"}}}
