Shorten what operators read, and tell faults of keys apart

An outcome that is unknown because the key came with another request has the status 409, and 410 for an expired key: the 504 of before invited a repeat that cannot succeed.

--- a/internal/api/answer_test.go
+++ b/internal/api/answer_test.go
@@ -223,6 +223,8 @@
 		{work.Uncertain(work.ReasonHomeUnreachable), 504, " "},
 		{work.Uncertain(work.ReasonUpstreamBroken), 502, " "},
 		{work.Uncertain(work.ReasonPeerBroken), 502, " "},
+		{work.Uncertain(work.ReasonKeyConflict), 409, " "},
+		{work.Uncertain(work.ReasonKeyExpired), 410, " "},
 	}
 	for _, tc := range cases {
 		t.Run(string(tc.response.Reason), func(t *testing.T) {
--- a/internal/api/changes.go
+++ b/internal/api/changes.go
@@ -6,6 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/api/wire"
 	"sycamoreledge.example/internal/event"
@@ -167,16 +170,22 @@
 	case errors.As(err, &conflict):
 		writeConflict(w, conflict)
 	case presets.Refused.Has(err):
-		writeError(w, http.StatusUnprocessableEntity, wire.CodeRefused, err.Error())
+		writeError(w, http.StatusUnprocessableEntity, wire.CodeRefused, withoutClass(err, presets.Refused))
 	case presets.Uncertain.Has(err):
-		writeError(w, http.StatusGatewayTimeout, wire.CodeUncertain, err.Error())
+		writeError(w, http.StatusGatewayTimeout, wire.CodeUncertain, withoutClass(err, presets.Uncertain))
 	case presets.Unreachable.Has(err):
-		writeError(w, http.StatusServiceUnavailable, wire.CodeUnavailable, err.Error())
+		writeError(w, http.StatusServiceUnavailable, wire.CodeUnavailable, withoutClass(err, presets.Unreachable))
 	default:
 		writeError(w, http.StatusInternalServerError, wire.CodeInternal, err.Error())
 	}
 }
 
+// withoutClass returns the message of an error without the name of its class,
+// which the code of the answer tells.
+func withoutClass(err error, class errs.Class) string {
+	return strings.TrimPrefix(err.Error(), string(class)+": ")
+}
+
 func writeConflict(w http.ResponseWriter, conflict *presets.ConflictError) {
 	won := conflict.Won
 	if won == nil {
--- a/internal/api/operators_test.go
+++ b/internal/api/operators_test.go
@@ -87,6 +87,7 @@
 	cfg := b.config.Load()
 	preset := cfg.Presets[cfg.InForce]
 	pool := work.PoolID{Service: "status", Zone: "east-b"}
+	lonely := work.PoolID{Service: "status", Zone: "west-a"}
 	return &control.Snapshot{
 		At: time.Now(), Self: "e1", Zone: "east-a", Region: "east", State: control.Serving,
 		Config: cfg, Preset: &preset,
@@ -94,7 +95,10 @@
 			{Name: "e1", Zone: "east-a", Region: "east", Alive: true, State: control.Serving, ConfigVersion: cfg.Version},
 			{Name: "e3", Zone: "east-b", Region: "east"},
 		},
-		Pools: map[work.PoolID]*control.PoolView{pool: {ID: pool, Region: "east", Owners: []control.PoolOwner{{Instance: "e1", Slots: 1}}}},
+		Pools: map[work.PoolID]*control.PoolView{
+			pool:   {ID: pool, Region: "east", Owners: []control.PoolOwner{{Instance: "e1", Slots: 1}}},
+			lonely: {ID: lonely, Region: "west"},
+		},
 		Owned: map[work.PoolID]control.Grant{pool: {BaseUntil: time.Now().Add(time.Hour), Adopted: true}},
 	}
 }
@@ -329,6 +333,7 @@
 	b.Expect(status.Explain).To(gomega.ContainElements(
 		gomega.ContainSubstring("e3 in east-b does not answer"),
 		gomega.ContainSubstring("status@east-b is adopted"),
+		gomega.ContainSubstring("zone west-a: no owner for the pools of status"),
 		"upstream s1 is suspect",
 	))
 	status, err = c.Status(t.Context(), false)
--- a/internal/api/request.go
+++ b/internal/api/request.go
@@ -165,9 +165,15 @@
 	}
 }
 
+// unknownStatus tells faults of the request, which a repeat does not mend, from
+// outcomes that a repeat under the same key may tell.
 func unknownStatus(reason work.Reason) int {
-	if reason == work.ReasonUpstreamBroken || reason == work.ReasonPeerBroken {
+	switch reason {
+	case work.ReasonUpstreamBroken, work.ReasonPeerBroken:
 		return http.StatusBadGateway
+	case work.ReasonKeyConflict, work.ReasonKeyExpired, work.ReasonKeyInvalid:
+		return notRunStatus(reason)
+	default:
+		return http.StatusGatewayTimeout
 	}
-	return http.StatusGatewayTimeout
 }
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"sycamoreledge.example/internal/api/wire"
@@ -111,22 +112,29 @@
 	for _, name := range slices.Sorted(maps.Keys(snap.LeavingUpstreams)) {
 		lines = append(lines, "upstream "+name+" is leaving: it gets no new work")
 	}
+	lines = append(lines, explainUnowned(snap)...)
 	for _, p := range sortedPools(snap) {
-		lines = append(lines, explainPool(snap, p, now)...)
+		if grant, owned := snap.Owned[p.ID]; owned {
+			lines = append(lines, explainGrant(p.ID, grant, now)...)
+		}
 	}
 	return lines
 }
 
-func explainPool(snap *control.Snapshot, p *control.PoolView, now time.Time) []string {
-	var lines []string
-	if len(p.Owners) == 0 {
-		lines = append(lines, fmt.Sprintf("pool %s has no owner: its work goes to other zones or is refused", p.ID))
+// explainUnowned has a line for each zone with pools that nobody dispatches to.
+func explainUnowned(snap *control.Snapshot) []string {
+	services := make(map[string][]string)
+	for _, p := range sortedPools(snap) {
+		if len(p.Owners) == 0 {
+			services[p.ID.Zone] = append(services[p.ID.Zone], p.ID.Service)
+		}
 	}
-	grant, owned := snap.Owned[p.ID]
-	if !owned {
-		return lines
+	var lines []string
+	for _, zone := range slices.Sorted(maps.Keys(services)) {
+		lines = append(lines, fmt.Sprintf("zone %s: no owner for the pools of %s, their work goes to other zones or is refused",
+			zone, strings.Join(services[zone], ", ")))
 	}
-	return append(lines, explainGrant(p.ID, grant, now)...)
+	return lines
 }
 
 func explainGrant(pool work.PoolID, grant control.Grant, now time.Time) []string {
