--- a/cmd/sycamoreledge/files_test.go
+++ b/cmd/sycamoreledge/files_test.go
@@ -121,3 +121,55 @@
 	got = execute(t, "settings", "check", filepath.Join(t.TempDir(), "none.yaml"))
 	g.Expect(got.code).To(gomega.Equal(exitFailed))
 }
+
+// newFirm writes the files of a small firm, as README describes, and returns
+// the settings file of one instance.
+func newFirm(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, name := range []string{"topology.yaml", "preset.yaml"} {
+		text, err := os.ReadFile(filepath.Join("../../internal/settings/testdata", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		writeFile(t, filepath.Join(dir, name), string(text))
+	}
+	keys := filepath.Join(dir, "keys")
+	for _, args := range [][]string{
+		{"keys", "init", "--dir", keys, "--firm", "Example"},
+		{"keys", "issue", "--dir", keys, "--topology", filepath.Join(dir, "topology.yaml")},
+		{"operators", "add", "ada", "--file", filepath.Join(dir, "operators.yaml"), "--token-file", filepath.Join(dir, "ada.token")},
+	} {
+		if got := execute(t, args...); got.code != exitOK {
+			t.Fatal(got.stderr)
+		}
+	}
+	file := filepath.Join(dir, "e1.yaml")
+	writeFile(t, file, `instance: e1
+topology: topology.yaml
+preset: preset.yaml
+platform: {address: "127.0.0.1:7900"}
+tls: {authority: keys/authority.pem, certificate: keys/e1.pem, key: keys/e1.key}
+key_secret: keys/idempotency.secret
+operators: operators.yaml
+`)
+	return file
+}
+
+func TestSettingsCheckOfAWholeFirm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file := newFirm(t)
+	got := execute(t, "settings", "check", file)
+	g.Expect(got.code).To(gomega.Equal(exitOK), got.stderr)
+	g.Expect(got.stdout).To(gomega.ContainSubstring("instance e1 of example"))
+	g.Expect(got.stderr).To(gomega.BeEmpty())
+	got = execute(t, "keys", "check", file)
+	g.Expect(got.stdout).To(gomega.ContainSubstring("are valid"))
+
+	text, err := os.ReadFile(file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	writeFile(t, file, strings.Replace(string(text), "keys/e1.pem", "keys/e2.pem", 1))
+	got = execute(t, "settings", "check", file)
+	g.Expect(got.code).To(gomega.Equal(exitFailed))
+	g.Expect(got.stderr).To(gomega.ContainSubstring("wrong_name"))
+}
--- a/cmd/sycamoreledge/keys.go
+++ b/cmd/sycamoreledge/keys.go
@@ -176,11 +176,7 @@
 // checkKeys prints what is wrong with the keys, and fails when the instance
 // cannot work with them.
 func (e *environment) checkKeys(s *settings.Settings) error {
-	files := pki.Files{Authority: s.TLS.Authority, Certificate: s.TLS.Certificate, Key: s.TLS.Key}
-	findings := pki.Check(files, s.Instance, time.Now())
-	if findings == nil {
-		findings = []pki.Finding{}
-	}
+	findings := keyFindings(s)
 	err := e.print(findings, func() error {
 		for _, f := range findings {
 			e.printf("%s\n", f)
@@ -193,6 +189,21 @@
 	if err != nil {
 		return err
 	}
+	return fatalFinding(s, findings)
+}
+
+// keyFindings returns what is wrong with the keys of an instance.
+func keyFindings(s *settings.Settings) []pki.Finding {
+	files := pki.Files{Authority: s.TLS.Authority, Certificate: s.TLS.Certificate, Key: s.TLS.Key}
+	findings := pki.Check(files, s.Instance, time.Now())
+	if findings == nil {
+		return []pki.Finding{}
+	}
+	return findings
+}
+
+// fatalFinding returns an error when the instance cannot work with a finding.
+func fatalFinding(s *settings.Settings, findings []pki.Finding) error {
 	for _, f := range findings {
 		if f.Fatal() {
 			return errs.New("the keys of %s are not valid", s.Instance)
--- a/cmd/sycamoreledge/settings.go
+++ b/cmd/sycamoreledge/settings.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"os"
 
 	"github.com/goccy/go-yaml"
@@ -35,8 +36,11 @@
 	if err != nil {
 		return err
 	}
-	keys := &environment{ctx: env.ctx, stdout: env.stderr, stderr: env.stderr, output: "table"}
-	if err := keys.checkKeys(bundle.Settings); err != nil {
+	findings := keyFindings(bundle.Settings)
+	for _, f := range findings {
+		fmt.Fprintf(env.stderr, "%s\n", f)
+	}
+	if err := fatalFinding(bundle.Settings, findings); err != nil {
 		return err
 	}
 	summary := settingsSummary{
