Keep late work off upstreams and slow-downs visible

Attempts cut off by a hedge counted with the time until their end, which kept a slowed upstream below the limit for slow ones as soon as its slots came back quickly (p98 with two upstreams slowed 66 ms).

Changes: a request leaves the queue no later than the p99.5 of durations before its deadline (lookups p95, nobody more than half of its time) and is refused at arrival when the expected wait is over a third of its time; an upstream that answered another request meanwhile isn't suspect; a held slot starts its probe at once; an attempt that was cut off counts twice its time, for its upstream only.

Probing again for slots held at the very instant of a probe's start looped without end in virtual time; a hold at that instant now counts as before it.

--- a/internal/traffic/owner/admit.go
+++ b/internal/traffic/owner/admit.go
@@ -7,8 +7,14 @@
 	"sycamoreledge.example/internal/work"
 )
 
-// minRetryAfter is the shortest advice for a later try.
-const minRetryAfter = 10 * time.Millisecond
+const (
+	// minRetryAfter is the shortest advice for a later try.
+	minRetryAfter = 10 * time.Millisecond
+	// waitPart is the part of its time that a request may be expected to wait,
+	// as a divisor. The wait can turn out longer than expected, and a refusal
+	// at the end of it helps nobody.
+	waitPart = 3
+)
 
 // admit returns a slot, or the refusal of a request that did not run.
 func (p *pool) admit(ctx context.Context, req *work.Request) (*slot, *work.Response) {
@@ -35,16 +41,18 @@
 	}
 	wait := p.expectedWait(may, p.waiting.Len())
 	advice := max(wait, minRetryAfter)
+	latest := p.latest(may, req)
 	switch {
 	case !req.Queue || req.Origin != p.id.Zone:
 		return nil, nil, work.Refuse(work.ReasonQueueFull, advice)
 	case p.waiting.Len() >= may.policy.Queue:
 		return nil, nil, work.Refuse(work.ReasonQueueFull, advice)
-	case may.now.Add(wait + p.service.high()).After(req.Deadline):
+	case wait > req.Deadline.Sub(may.now)/waitPart, may.now.Add(wait).After(latest):
 		return nil, nil, work.Refuse(work.ReasonDeadline, advice)
 	}
 	w := &waiter{
 		deadline: req.Deadline,
+		latest:   latest,
 		granted:  make(chan *slot, 1),
 		refused:  make(chan *work.Response, 1),
 	}
@@ -52,6 +60,18 @@
 	return nil, w, nil
 }
 
+// latest is when a request must leave the queue. It keeps half of its time for
+// the upstream, or what is most likely enough: for work with an effect that
+// includes stragglers, since a timeout would leave its outcome unknown.
+func (p *pool) latest(may permit, req *work.Request) time.Time {
+	need := p.service.high()
+	if !p.kind.Idempotent() {
+		need = p.service.long()
+	}
+	half := req.Deadline.Sub(may.now) / 2
+	return req.Deadline.Add(-min(need, half))
+}
+
 // refuse returns the refusal of a request that must not be run here at all.
 func (p *pool) refuse(may permit, req *work.Request) *work.Response {
 	switch {
@@ -74,7 +94,7 @@
 // wait returns what the queue decides, or a refusal when the caller leaves or
 // the time left is too short to be served.
 func (p *pool) wait(ctx context.Context, w *waiter) (*slot, *work.Response) {
-	timer := time.NewTimer(time.Until(w.deadline))
+	timer := time.NewTimer(time.Until(w.latest))
 	defer timer.Stop()
 	var late *work.Response
 	select {
--- a/internal/traffic/owner/estimate.go
+++ b/internal/traffic/owner/estimate.go
@@ -17,6 +17,7 @@
 	histogramDigits = 2                 // significant figures
 	histogramWindow = 2000              // durations until the older half is dropped
 	minQuantileData = 50                // durations needed for a quantile
+	longQuantile    = 99.5              // percent
 	highQuantile    = 95.0              // percent
 	histogramUnit   = time.Microsecond  // of the recorded values
 )
@@ -30,6 +31,7 @@
 	old     *hdrhistogram.Histogram
 	median  time.Duration // of recent
 	cached  time.Duration // the high quantile
+	longest time.Duration // the long quantile
 	hedge   time.Duration // the quantile asked for last
 	asked   float64       // percent
 	askedAt int           // count at that time
@@ -66,6 +68,7 @@
 	_ = e.young.RecordValue(value)
 	if e.count%minQuantileData == 0 {
 		e.cached = e.quantile(highQuantile)
+		e.longest = e.quantile(longQuantile)
 	}
 }
 
@@ -110,6 +113,9 @@
 // high is a high quantile, or the typical duration while too little is known.
 func (e *estimate) high() time.Duration { return max(e.cached, e.typical()) }
 
+// long is the duration that few requests exceed, stragglers included.
+func (e *estimate) long() time.Duration { return max(e.longest, e.high()) }
+
 // budget permits extra attempts as a fraction of the dispatches.
 type budget struct{ tokens float64 }
 
--- a/internal/traffic/owner/fault_test.go
+++ b/internal/traffic/owner/fault_test.go
@@ -178,3 +178,29 @@
 		<-time.After(time.Second)
 	})
 }
+
+// A request that runs out of time says nothing of an upstream that answers
+// others meanwhile.
+func TestTimeoutOfOneRequestKeepsTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBench(work.Order, 1, 2)
+		first := true
+		b.upstreams.all["u1"].service = func() time.Duration {
+			if first {
+				first = false
+				return time.Second
+			}
+			return serviceTime
+		}
+		straggler := b.start(t.Context(), b.request(100*time.Millisecond))
+		synctest.Wait()
+		for range 4 {
+			g.Expect(b.owner.Serve(t.Context(), b.request(time.Second)).Outcome).To(gomega.Equal(work.Run))
+		}
+		g.Expect((<-straggler).Outcome).To(gomega.Equal(work.Unknown))
+		g.Expect(b.owner.Serve(t.Context(), b.request(time.Second)).Outcome).To(gomega.Equal(work.Run))
+		synctest.Wait()
+		g.Expect(b.owner.InFlight(b.pool)).To(gomega.BeZero(), "the probe freed the slot")
+	})
+}
--- a/internal/traffic/owner/owner.go
+++ b/internal/traffic/owner/owner.go
@@ -44,6 +44,9 @@
 	probeInterval time.Duration
 	pools         map[work.PoolID]*pool
 	stats         Stats
+	// life ends with Run and bounds the probes.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // New returns an Owner for the pools of the topology.
@@ -54,6 +57,7 @@
 		probeInterval: opt.ProbeInterval,
 		pools:         make(map[work.PoolID]*pool),
 	}
+	o.life, o.end = context.WithCancel(context.Background())
 	for _, service := range opt.Topology.Services {
 		for _, declared := range service.Pools {
 			id := work.PoolID{Service: service.Name, Zone: declared.Zone}
@@ -67,6 +71,7 @@
 func (o *Owner) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	defer o.end()
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,7 +79,7 @@
 		case <-ticker.C:
 		}
 		for _, p := range o.pools {
-			p.sweep(ctx)
+			p.sweep()
 		}
 	}
 }
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -73,8 +73,11 @@
 // waiter is a request in the queue. Its channel receives one grant or refusal.
 type waiter struct {
 	deadline time.Time
-	granted  chan *slot
-	refused  chan *work.Response
+	// latest is when it must be dispatched, so that it most likely ends before
+	// its deadline.
+	latest  time.Time
+	granted chan *slot
+	refused chan *work.Response
 }
 
 // slot is the right to have one request in flight at an upstream.
@@ -109,20 +112,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.row.remove(s.start)
-	if took := now.Sub(s.start); end.answered || end.late && took > p.service.typical() {
-		s.row.service.add(took)
-		p.service.add(took)
-	}
+	p.record(s.row, now.Sub(s.start), end)
 	if end.answered {
-		s.row.answered()
+		s.row.answered(now)
 	}
 	if end.silent {
 		s.row.hold(now)
 		p.owner.stats.Held.Add(1)
+		p.startProbe(s.row, now)
 	}
 	p.pump(may)
 }
 
+// lateFactor is how many times longer than until its end an attempt that was
+// cut off is taken to last.
+const lateFactor = 2
+
+// record adds the duration of an attempt to the estimates. One that was cut off
+// counts for its upstream only, and only when it was longer than usual.
+func (p *pool) record(r *row, took time.Duration, end ending) {
+	switch {
+	case end.answered:
+		r.service.add(took)
+		p.service.add(took)
+	case end.late && took > p.service.typical():
+		r.service.add(lateFactor * took)
+	}
+}
+
 // pump gives free slots to waiters in the order of their arrival, and refuses
 // those that can't be served any more.
 func (p *pool) pump(may permit) {
@@ -150,7 +167,7 @@
 	switch {
 	case !may.owned:
 		return work.Refuse(work.ReasonNotOwner, 0)
-	case may.now.Add(p.service.typical()).After(w.deadline):
+	case may.now.After(w.latest):
 		return work.Refuse(work.ReasonDeadline, p.expectedWait(may, p.waiting.Len()))
 	default:
 		return nil
--- a/internal/traffic/owner/probe.go
+++ b/internal/traffic/owner/probe.go
@@ -17,7 +17,7 @@
 
 // sweep refuses waiters of a lost pool, hands out slots that became free
 // without a release, and starts the probes that are due.
-func (p *pool) sweep(ctx context.Context) {
+func (p *pool) sweep() {
 	may := p.owner.permit(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -26,32 +26,30 @@
 		return
 	}
 	for _, r := range p.rows {
-		if r.probing || !r.probeDue(may.now, p.owner.probeInterval) {
-			continue
+		if may.now.Sub(r.probed) >= p.owner.probeInterval {
+			p.startProbe(r, may.now)
 		}
-		r.probing = true
-		r.probed = may.now
-		go p.probe(ctx, r)
 	}
 }
 
-// probeDue reports whether the interval has passed, or a held slot waits for a
-// probe that started after it.
-func (r *row) probeDue(now time.Time, interval time.Duration) bool {
-	if now.Sub(r.probed) >= interval {
-		return true
+// startProbe starts a probe unless one is under way; the mutex is held.
+func (p *pool) startProbe(r *row, now time.Time) {
+	if r.probing {
+		return
 	}
-	return len(r.held) > 0 && r.held[len(r.held)-1].After(r.probed) && r.probeLosses == 0
+	r.probing = true
+	r.probed = now
+	go p.probe(r)
 }
 
 // probe asks the upstream for its health and applies the answer.
-func (p *pool) probe(ctx context.Context, r *row) {
+func (p *pool) probe(r *row) {
 	start := time.Now()
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(p.owner.life, probeTimeout)
 	defer cancel()
 	p.owner.stats.Probes.Add(1)
-	health, err := p.owner.upstreams.Probe(probeCtx, r.target)
-	if ctx.Err() != nil {
+	health, err := p.owner.upstreams.Probe(ctx, r.target)
+	if p.owner.life.Err() != nil {
 		return
 	}
 	may := p.owner.permit(p)
@@ -59,6 +57,9 @@
 	defer p.mu.Unlock()
 	r.probing = false
 	r.apply(health, err, start)
+	if err == nil && len(r.held) > 0 {
+		p.startProbe(r, may.now) // for slots held since
+	}
 	p.pump(may)
 }
 
@@ -90,7 +91,7 @@
 func (r *row) freeHeld(before time.Time) {
 	kept := r.held[:0]
 	for _, since := range r.held {
-		if !since.Before(before) {
+		if since.After(before) {
 			kept = append(kept, since)
 		}
 	}
--- a/internal/traffic/owner/row.go
+++ b/internal/traffic/owner/row.go
@@ -18,6 +18,8 @@
 	// given up and may still be running.
 	held    []time.Time
 	service estimate
+	// lastAnswer is when the last whole answer ended.
+	lastAnswer time.Time
 	// warm counts answers since the upstream started cold.
 	warm int
 	// shedUntil is when an upstream that shed a request gets work again.
@@ -72,7 +74,8 @@
 }
 
 // answered notes a whole answer.
-func (r *row) answered() {
+func (r *row) answered(now time.Time) {
+	r.lastAnswer = now
 	if r.state != stateCold {
 		return
 	}
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -185,7 +185,7 @@
 func (p *pool) conclude(s *slot, result upstream.Result) {
 	resp := result.Response
 	p.mu.Lock()
-	if trigger := symptom(resp); trigger != "" {
+	if trigger := symptom(resp, s); trigger != "" {
 		s.row.fire(trigger)
 	}
 	if resp.Reason == work.ReasonUpstreamShed {
@@ -199,13 +199,15 @@
 	})
 }
 
-// symptom returns what a failed attempt tells of the upstream, or "".
-func symptom(resp *work.Response) stateTrigger {
+// symptom returns what a failed attempt tells of the upstream, or "". One that
+// answered others meanwhile is not silent.
+func symptom(resp *work.Response, s *slot) stateTrigger {
 	switch {
 	case resp.Reason == work.ReasonUpstreamConnect:
 		return triggerRefused
-	case resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamTimeout,
-		resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamBroken:
+	case resp.Outcome != work.Unknown || s.row.lastAnswer.After(s.start):
+		return ""
+	case resp.Reason == work.ReasonUpstreamTimeout, resp.Reason == work.ReasonUpstreamBroken:
 		return triggerSilent
 	default:
 		return ""
