Leave full pools of other regions alone for longer

Change: such a pool is left alone for a round trip, and for twice as long after each further refusal, up to 1 s, until it runs a request again.

--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -31,6 +31,34 @@
 	// full is until when the pool is taken to have no free slot, in Unix
 	// nanoseconds: it refused a moment ago.
 	full atomic.Int64
+	// refusals counts the refusals since the pool last ran a request.
+	refusals atomic.Int64
+}
+
+const (
+	// fullPause is how long a pool that refused is not asked for a free slot. A
+	// pool of another region is left alone for a round trip, and for twice as
+	// long after each further refusal.
+	fullPause    = 5 * time.Millisecond
+	maxFullPause = time.Second
+	maxDoublings = 6
+)
+
+// refused notes that the pool has no free slot.
+func (r *route) refused(now time.Time) {
+	pause := fullPause
+	if r.tier == otherRegion {
+		n := min(r.refusals.Add(1)-1, maxDoublings)
+		pause = min(max(r.roundTrip, fullPause)<<n, maxFullPause)
+	}
+	r.full.Store(now.Add(pause).UnixNano())
+}
+
+// ran notes that the pool ran a request.
+func (r *route) ran() {
+	if r.refusals.Load() != 0 {
+		r.refusals.Store(0)
+	}
 }
 
 // service is the static order of the pools of a service, nearest first.
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -16,8 +16,6 @@
 const (
 	// loadMaxAge is the age at which the known load of a pool says nothing.
 	loadMaxAge = 2 * time.Second
-	// fullPause is how long a pool that refused is not asked for a free slot.
-	fullPause = 5 * time.Millisecond
 	// shiftGain is how many round trips to another region the wait in the own
 	// zone must exceed before a request is shifted instead of queued.
 	shiftGain = 1.5
@@ -244,6 +242,7 @@
 func (t *trip) judge(r *route, resp *work.Response) *work.Response {
 	switch resp.Outcome {
 	case work.Run:
+		r.ran()
 		return resp
 	case work.NotRun:
 		t.learn(r, resp)
@@ -270,7 +269,7 @@
 	default:
 		return
 	}
-	r.full.Store(time.Now().Add(fullPause).UnixNano())
+	r.refused(time.Now())
 	if r.tier != otherRegion && (t.wait == 0 || resp.RetryAfter < t.wait) {
 		t.wait = resp.RetryAfter
 	}
