Send a retry to another upstream than the one that failed

Cause: TestRefusalAfterUnknownStaysUnknown and TestRetriesOnlyWhereItIsSafe failed in 6 of 15 runs under the race detector since probes start at once: an upstream that broke a request and answered the probe was free again before the retry and got it as well. Change: a further attempt avoids the upstream of the one before while another one takes work. TestRetryAvoidsTheUpstreamThatFailed fails without it. The fake's probe fails along with its requests unless a test says otherwise; the first test needs that its only upstream stays suspect.

--- a/internal/traffic/owner/admit.go
+++ b/internal/traffic/owner/admit.go
@@ -16,11 +16,12 @@
 	waitPart = 3
 )
 
-// admit returns a slot, or the refusal of a request that did not run.
-func (p *pool) admit(ctx context.Context, req *work.Request) (*slot, *work.Response) {
+// admit returns a slot, or the refusal of a request that did not run. A further
+// attempt avoids the upstream of the one before.
+func (p *pool) admit(ctx context.Context, req *work.Request, avoid *row) (*slot, *work.Response) {
 	may := p.owner.permit(p)
 	p.mu.Lock()
-	s, w, refusal := p.enter(may, req)
+	s, w, refusal := p.enter(may, req, avoid)
 	p.mu.Unlock()
 	if w == nil {
 		return s, refusal
@@ -30,12 +31,12 @@
 }
 
 // enter gives a slot, queues the request, or refuses it.
-func (p *pool) enter(may permit, req *work.Request) (*slot, *waiter, *work.Response) {
+func (p *pool) enter(may permit, req *work.Request, avoid *row) (*slot, *waiter, *work.Response) {
 	if refusal := p.refuse(may, req); refusal != nil {
 		return nil, nil, refusal
 	}
 	if may.fresh && p.waiting.Len() == 0 {
-		if r := p.choose(may, nil, 0); r != nil {
+		if r := p.choose(may, p.avoided(may, avoid), 0); r != nil {
 			return p.take(r, may.now), nil, nil
 		}
 	}
@@ -53,6 +54,7 @@
 	w := &waiter{
 		deadline: req.Deadline,
 		latest:   latest,
+		avoid:    avoid,
 		granted:  make(chan *slot, 1),
 		refused:  make(chan *work.Response, 1),
 	}
--- a/internal/traffic/owner/bench_test.go
+++ b/internal/traffic/owner/bench_test.go
@@ -61,7 +61,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					if s, _ := o.pools[id].admit(b.Context(), req); s != nil {
+					if s, _ := o.pools[id].admit(b.Context(), req, nil); s != nil {
 						s.release(ending{answered: true})
 					}
 				}
--- a/internal/traffic/owner/choose.go
+++ b/internal/traffic/owner/choose.go
@@ -33,6 +33,19 @@
 	return false
 }
 
+// avoided returns the upstream to avoid, or nil when no other one takes work.
+func (p *pool) avoided(may permit, avoid *row) *row {
+	if avoid == nil {
+		return nil
+	}
+	for _, r := range p.rows {
+		if r != avoid && r.allowed(may) > 0 {
+			return avoid
+		}
+	}
+	return nil
+}
+
 // choose returns the upstream for the next request, or nil when none is free or
 // waiting for a faster one takes less time. queued is the number of requests
 // that wait.
--- a/internal/traffic/owner/fake_test.go
+++ b/internal/traffic/owner/fake_test.go
@@ -25,6 +25,7 @@
 	health  upstream.Health
 	fault   work.Reason // answered instead of running, when set
 	silent  bool        // never answers
+	healthy bool        // answers probes in spite of a fault
 	running int
 	most    int
 	runs    int
@@ -95,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.all[t.Name]
-	if u.silent || u.fault == work.ReasonUpstreamConnect {
+	if !u.healthy && (u.silent || u.fault != "") {
 		return "", errNoAnswer
 	}
 	return u.health, nil
--- a/internal/traffic/owner/fault_test.go
+++ b/internal/traffic/owner/fault_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// An upstream that answers probes and breaks all requests must not get the
+// second attempt as well.
+func TestRetryAvoidsTheUpstreamThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBench(work.Lookup, 2, 1)
+		b.upstreams.all["u2"].fault = work.ReasonUpstreamBroken
+		b.upstreams.all["u2"].healthy = true
+		first := b.start(t.Context(), b.request(time.Second)) // takes u1
+		synctest.Wait()
+		resp := b.owner.Serve(t.Context(), b.request(time.Second))
+		g.Expect(resp.Outcome).To(gomega.Equal(work.Run))
+		g.Expect(resp.Upstream).To(gomega.Equal("u1"))
+		g.Expect((<-first).Upstream).To(gomega.Equal("u1"))
+		g.Expect(b.upstreams.runsOf("u2")).To(gomega.Equal(1))
+	})
+}
+
 func TestRefusalAfterUnknownStaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -76,6 +76,7 @@
 	// latest is when it must be dispatched, so that it most likely ends before
 	// its deadline.
 	latest  time.Time
+	avoid   *row // the upstream of the attempt before, or nil
 	granted chan *slot
 	refused chan *work.Response
 }
@@ -153,7 +154,7 @@
 		if !may.fresh {
 			return
 		}
-		r := p.choose(may, nil, p.waiting.Len())
+		r := p.choose(may, p.avoided(may, w.avoid), p.waiting.Len())
 		if r == nil {
 			return
 		}
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -42,11 +42,13 @@
 		}
 	}
 	var last *work.Response
+	var avoid *row
 	for attempt := 1; ; attempt++ {
-		s, refusal := p.admit(ctx, req)
+		s, refusal := p.admit(ctx, req, avoid)
 		if refusal != nil {
 			return worse(last, refusal)
 		}
+		avoid = s.row
 		resp := p.run(ctx, s, req, body)
 		last = worse(last, resp)
 		if resp.Outcome == work.Run {
