--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -18,9 +18,10 @@
 	Timing      settings.ControlSettings
 	// Initial is in force until a configuration is learned.
 	Initial *settings.Preset
-	// Unclean names the instances of the own zone, itself included, whose
-	// former run may still have requests in flight.
-	Unclean []string
+	// Unclean are the runs of the instances of the own zone, itself included,
+	// that did not stop cleanly as far as is known, and so may still have
+	// requests in flight. An Incarnation of 0 means any run.
+	Unclean []Identity
 	// Start is the time of the first tick.
 	Start time.Time
 }
@@ -38,8 +39,7 @@
 	machine *stateless.StateMachine
 	state   InstanceState
 	// resumed is when the instance last started or came back from a pause.
-	resumed   time.Time
-	successor string
+	resumed time.Time
 	// retired is set once all pools are given up for good.
 	retired bool
 
@@ -50,11 +50,12 @@
 	members  []member
 	pools    []ownedPool
 	wards    []ward
+	unclean  map[Identity]bool
 	spread   spread
 	lastSent int64
 	load     map[int]PoolStatus
-	leaving  map[string]bool // upstreams, by the platform's list
-	succeed  successors
+	leaving  leavingLists
+	held     []held
 	messages []Outbound
 	events   []Event
 	// stale is set when the last snapshot no longer shows the tables.
@@ -91,7 +92,7 @@
 		resumed:  p.Start,
 		state:    Joining,
 		load:     map[int]PoolStatus{},
-		leaving:  map[string]bool{},
+		leaving:  leavingLists{},
 		members:  newMembers(ix, p.Start),
 	}
 	c.machine = newInstanceMachine(&c.state)
@@ -101,8 +102,9 @@
 		Presets: map[string]settings.Preset{p.Initial.Name: *p.Initial},
 	})
 	c.pools = newOwnedPools(ix)
-	c.wards = c.newWards(len(p.Unclean) > 0)
+	c.wards = c.newWards()
 	c.blockUnclean(p.Unclean)
+	c.updateContacts()
 	return c
 }
 
@@ -117,20 +119,12 @@
 	}
 }
 
-// SetLeavingUpstreams passes in the upstreams that the platform lists as
-// leaving. The list lags; it only keeps new work away.
-func (c *Core) SetLeavingUpstreams(names []string) {
-	clear(c.leaving)
-	for _, name := range names {
-		c.leaving[name] = true
-	}
-}
-
 // Tick runs all systems once at the time now.
 func (c *Core) Tick(now time.Time) {
 	last := c.now
 	c.now = now
 	c.detectPause(last)
+	c.updateContacts()
 	c.detectFailures()
 	c.finishCatchUp()
 	c.updateOwnership()
@@ -138,7 +132,8 @@
 	c.sendReleases()
 	c.sendHeartbeats()
 	c.sendDigests()
-	c.expireSuccessors()
+	c.leaving.expire(c.now)
+	c.expireHeld()
 	c.stale = true
 }
 
@@ -177,6 +172,8 @@
 		c.onConfig(from, msg.Config)
 	case msg.Release != nil:
 		c.onRelease(from, msg.Release)
+	case msg.Leaving != nil:
+		c.onLeaving(from, msg.Leaving)
 	}
 }
 
@@ -186,6 +183,16 @@
 	c.messages = append(c.messages, Outbound{To: c.ix.instances[to].Name, Msg: msg})
 }
 
+// Settled reports whether all runs that were not known to have stopped cleanly
+// at the start are by now accounted for.
+func (c *Core) Settled() bool {
+	longest := time.Duration(0)
+	for _, timeout := range c.spread.longest {
+		longest = max(longest, timeout)
+	}
+	return len(c.unclean) == 0 || c.now.After(c.start.Add(c.timing.Lease+longest))
+}
+
 // owns reports whether this instance may take part in ownership.
 func (c *Core) owns() bool {
 	return !c.retired && (c.state == Serving || c.state == Leaving)
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -72,8 +72,12 @@
 	down     bool
 	paused   bool
 	inFlight map[work.PoolID][]time.Time // ends
+	buffer   []Message                   // arrived while paused
 }
 
+// bufferedMessages is what a paused process still finds in its socket.
+const bufferedMessages = 8
+
 // fleet runs cores against a manual clock and a network with cuts.
 type fleet struct {
 	t        testing.TB
@@ -88,7 +92,7 @@
 	rng      *rand.Rand
 	versions map[string]int64
 	run      uint64
-	clean    map[string]bool
+	records  map[string][]uint64 // the last two runs by instance, none clean
 	events   []Event
 	sent     int
 }
@@ -105,12 +109,9 @@
 		cut:      func(string, string) bool { return false },
 		rng:      rand.New(rand.NewSource(seed)),
 		versions: map[string]int64{},
-		clean:    map[string]bool{},
+		records:  map[string][]uint64{},
 	}
 	f.now = f.start
-	for _, inst := range f.ix.instances {
-		f.clean[inst.Name] = true
-	}
 	for _, inst := range f.ix.instances {
 		f.boot(inst.Name)
 	}
@@ -121,14 +122,16 @@
 // platform's instance records.
 func (f *fleet) boot(name string) {
 	f.run++
-	var unclean []string
+	var unclean []Identity
 	zone := f.ix.zones[f.ix.instances[f.ix.byName[name]].zone]
 	for _, i := range zone.instances {
-		if mate := f.ix.instances[i].Name; !f.clean[mate] {
-			unclean = append(unclean, mate)
+		mate := f.ix.instances[i].Name
+		for _, run := range f.records[mate] {
+			unclean = append(unclean, Identity{Instance: mate, Incarnation: run})
 		}
 	}
-	f.clean[name] = false
+	f.records[name] = append(f.records[name], f.run)
+	f.records[name] = f.records[name][max(0, len(f.records[name])-2):]
 	f.nodes[name] = &node{
 		core: New(Params{
 			Self:        name,
@@ -171,6 +174,7 @@
 		f.dispatch(n) // With the snapshot of before the tick: the worst case.
 		n.core.SetLoad(n.loadOf())
 		n.core.Tick(f.now)
+		f.unbuffer(n)
 		f.deliver(n)
 		f.dispatch(n)
 	}
@@ -193,13 +197,25 @@
 	for _, out := range r.Messages {
 		f.sent++
 		to := f.nodes[out.To]
-		if to.down || to.paused || f.cut(from, out.To) || f.rng.Float64() < f.loss {
-			continue
+		switch {
+		case to.down || f.cut(from, out.To) || f.rng.Float64() < f.loss:
+		case to.paused && len(to.buffer) < bufferedMessages:
+			to.buffer = append(to.buffer, out.Msg)
+		case to.paused:
+		default:
+			to.core.Step(f.now, out.Msg)
 		}
-		to.core.Step(f.now, out.Msg)
 	}
 }
 
+// unbuffer delivers what arrived during a pause.
+func (f *fleet) unbuffer(n *node) {
+	for _, msg := range n.buffer {
+		n.core.Step(f.now, msg)
+	}
+	n.buffer = nil
+}
+
 func (f *fleet) expire(inFlight map[work.PoolID][]time.Time) {
 	for id, ends := range inFlight {
 		kept := ends[:0]
@@ -288,6 +304,20 @@
 	return owners
 }
 
+// owned reports whether a running node owns the pool, even while a former
+// owner's requests occupy its slots.
+func (f *fleet) owned(zone string) bool {
+	for _, n := range f.nodes {
+		if n.down || n.paused || n.snapshot == nil {
+			continue
+		}
+		if _, owned := n.snapshot.Owned[work.PoolID{Service: "orders", Zone: zone}]; owned {
+			return true
+		}
+	}
+	return false
+}
+
 // slotsIn returns how many slots all running nodes together may use.
 func (f *fleet) slotsIn(zone string) int {
 	id := work.PoolID{Service: "orders", Zone: zone}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -87,7 +87,7 @@
 }
 
 // finishCatchUp ends Joining and CatchingUp once every peer in the zone has
-// either sent a heartbeat since or been silent for a lease.
+// either answered a heartbeat since or been silent for a lease.
 func (c *Core) finishCatchUp() {
 	if c.state != Joining && c.state != CatchingUp {
 		return
@@ -96,8 +96,9 @@
 		if m == c.self || c.members[m].failed {
 			continue
 		}
-		// Only a heartbeat tells which pools the peer owns by now.
-		if !c.members[m].beatAt.After(c.resumed) {
+		// Only an answer to a heartbeat of ours tells what the peer owns by now;
+		// others may have waited in a buffer while this process was paused.
+		if c.members[m].ackedAt.Before(c.resumed) {
 			return
 		}
 	}
@@ -107,19 +108,12 @@
 	c.fire(triggerCaughtUp)
 }
 
-// Leave starts the planned stop. The successor, if any, holds this instance's
-// idempotency keys from now on.
+// Leave starts the planned stop.
 func (c *Core) Leave() {
 	c.fire(triggerLeave)
 	c.spread.touch(&c.members[c.self])
 }
 
-// SetSuccessor announces the instance that holds this instance's keys.
-func (c *Core) SetSuccessor(name string) {
-	c.successor = name
-	c.spread.touch(&c.members[c.self])
-}
-
 // Retire gives up all pools for good, as the step of a planned stop before
 // waiting for the requests in flight.
 func (c *Core) Retire() {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -42,6 +42,8 @@
 	Seed uint64
 	// WithoutPlatform starts the entries before there is a platform.
 	WithoutPlatform bool
+	// Baseline runs the plain proxy in place of the entries.
+	Baseline bool
 }
 
 // Cluster is a running firm.
@@ -82,6 +84,10 @@
 		c.add(logs, upstreamsName(zone), lab, "upstreams", "--run", o.Plan.Dir, "--zone", zone, "--seed", seed)
 	}
 	for _, e := range o.Plan.Entries {
+		if o.Baseline {
+			c.add(logs, e.Name, lab, "baseline", "--run", o.Plan.Dir, "--entry", e.Name)
+			continue
+		}
 		c.add(logs, e.Name, filepath.Join(o.Bin, "sycamoreledge"), "entry", "--settings", e.Settings)
 	}
 	return c, nil
@@ -117,6 +123,11 @@
 			return err
 		}
 	}
+	if !o.WithoutPlatform {
+		if err := c.SetInstances(ctx); err != nil {
+			return err
+		}
+	}
 	for _, e := range c.Plan.Entries {
 		if err := c.procs[e.Name].Start(); err != nil {
 			return err
@@ -157,7 +168,10 @@
 	if err := c.procs[platformName].Start(); err != nil {
 		return err
 	}
-	return c.await(ctx, platformName, c.standIns()[platformName])
+	if err := c.await(ctx, platformName, c.standIns()[platformName]); err != nil {
+		return err
+	}
+	return c.SetInstances(ctx)
 }
 
 // Ready waits until an entry takes requests.
--- a/internal/lab/promises/special.go
+++ b/internal/lab/promises/special.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -16,6 +15,7 @@
 	"sycamoreledge.example/internal/lab/caller"
 	"sycamoreledge.example/internal/lab/cluster"
 	"sycamoreledge.example/internal/lab/firm"
+	"sycamoreledge.example/internal/lab/trial"
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/work"
 )
@@ -32,6 +32,9 @@
 		{Name: "change whose answer is lost", special: lostAnswer, checks: []Promise{Config}},
 		{Name: "operator dies half way", special: dyingOperator, checks: []Promise{Config}},
 		{Name: "presets that break a limit", special: badPresets, checks: []Promise{Config}},
+		{Name: "shift under caps", special: shift, checks: []Promise{Slots, Answers, Caps, Headroom}},
+		{Name: "expired keys", special: expiredKeys, checks: once, options: func(o *trial.Options) { o.KeyLifetime = shortLifetime }},
+		{Name: "platform absent at start", faults: []fault{absentPlatform()}, options: func(o *trial.Options) { o.WithoutPlatform = true }},
 	}
 }
 
@@ -145,6 +148,62 @@
 	return nil
 }
 
+// shortLifetime is that of the keys in the case about expiry.
+const shortLifetime = 3 * time.Second
+
+// expiredKeys repeats an order and sends a new one under keys that expired
+// meanwhile.
+func expiredKeys(ctx context.Context, e *env) error {
+	c := e.caller()
+	defer c.Close()
+	used, err := e.call(ctx, c, work.Order, "used-key", []byte("order"))
+	if err != nil {
+		return err
+	}
+	unused, err := e.call(ctx, c, work.Order, "unused-key", []byte("order"))
+	if err != nil {
+		return err
+	}
+	entry := e.Plan.Entries[0].Callers
+	first := c.Send(ctx, entry, used)
+	e.expect(Once, "order under a fresh key", first, work.Run, "")
+	pause(ctx, 2*shortLifetime)
+	again := c.Send(ctx, entry, used)
+	e.Note(caller.Combine(used, first, again))
+	late := c.Send(ctx, entry, unused)
+	if late.Outcome == work.Run {
+		e.broken(Once, "an order ran under an expired key")
+	}
+	e.Note(caller.Combine(unused, late))
+	return nil
+}
+
+// absentPlatform is a platform that starts after the entries.
+func absentPlatform() fault {
+	return fault{
+		name:   "platform absent at start",
+		begin:  func(context.Context, *env) error { return nil },
+		end:    startPlatform,
+		hurts:  nobody,
+		silent: true,
+	}
+}
+
+// startPlatform starts the platform and stores the presets as soon as an
+// entry accepts them.
+func startPlatform(ctx context.Context, e *env) error {
+	if err := e.Cluster.StartPlatform(ctx); err != nil {
+		return err
+	}
+	for {
+		err := e.ApplyPresets(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, sampleInterval)
+	}
+}
+
 // rounds is how often the cases with operators repeat.
 const rounds = 5
 
@@ -197,7 +256,11 @@
 		return
 	}
 	conflict, ok := refusal.Conflict()
-	if !ok || conflict.Winner == nil || conflict.Winner.Operation != winner {
+	named := false
+	for _, won := range conflict.Won {
+		named = named || won.Operation == winner
+	}
+	if !ok || !named {
 		e.broken(Config, "the refusal %v does not name the winner %s: %+v", err, winner, conflict)
 	}
 }
@@ -273,7 +336,7 @@
 
 // spoiled returns the ordinary preset with a change, as YAML.
 func spoiled(p *firm.Plan, change func(*settings.Preset)) ([]byte, error) {
-	data, err := os.ReadFile(filepath.Join(p.Dir, "presets", "ordinary.yaml"))
+	data, err := os.ReadFile(p.PresetFile("ordinary"))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
