--- a/internal/traffic/owner/admit.go
+++ b/internal/traffic/owner/admit.go
@@ -19,8 +19,8 @@
 // admit returns a slot, or the refusal of a request that did not run. A further
 // attempt avoids the upstream of the one before.
 func (p *pool) admit(ctx context.Context, req *work.Request, avoid *row) (*slot, *work.Response) {
-	may := p.owner.permit(p)
 	p.mu.Lock()
+	may := p.owner.permit(p)
 	s, w, refusal := p.enter(may, req, avoid)
 	p.mu.Unlock()
 	if w == nil {
--- a/internal/traffic/owner/hedge.go
+++ b/internal/traffic/owner/hedge.go
@@ -80,13 +80,13 @@
 // hedgeDelay is the time after which a second attempt starts.
 func (p *pool) hedgeDelay() time.Duration {
 	const never = 24 * time.Hour
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	may := p.owner.permit(p)
 	if may.policy == nil || may.policy.HedgeQuantile == 0 {
 		return never
 	}
-	p.mu.Lock()
 	delay := p.service.delay(may.policy.HedgeQuantile * 100)
-	p.mu.Unlock()
 	if delay == 0 {
 		return never
 	}
@@ -96,8 +96,7 @@
 // startHedge takes a slot at another upstream when the budget permits it, one is
 // free, and no request waits for it. It returns nil otherwise.
 func (p *pool) startHedge(ctx context.Context, first *slot, req *work.Request) *attempt {
-	may := p.owner.permit(p)
-	s := p.hedgeSlot(may, first, req)
+	s := p.hedgeSlot(first, req)
 	if s == nil {
 		return nil
 	}
@@ -109,9 +108,10 @@
 	return a
 }
 
-func (p *pool) hedgeSlot(may permit, first *slot, req *work.Request) *slot {
+func (p *pool) hedgeSlot(first *slot, req *work.Request) *slot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	if p.refuse(may, req) != nil || !may.fresh || p.waiting.Len() > 0 {
 		return nil
 	}
--- a/internal/traffic/owner/owner.go
+++ b/internal/traffic/owner/owner.go
@@ -112,9 +112,9 @@
 }
 
 func (o *Owner) load(p *pool) (control.PoolStatus, bool) {
-	may := o.permit(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := o.permit(p)
 	row := control.PoolStatus{Pool: p.id, Slots: p.slots(may), Busy: p.busy(), Queued: p.waiting.Len()}
 	return row, may.owned
 }
@@ -131,7 +131,9 @@
 	policy   *settings.ServicePolicy
 }
 
-// permit reads what a pool may do now from the latest snapshot.
+// permit reads what a pool may do now from the latest snapshot. The pool's mutex
+// is held, so that whoever locks the pool after a new snapshot was published
+// sees all slots that were taken under an older one.
 func (o *Owner) permit(p *pool) permit {
 	snap := o.snapshot()
 	now := time.Now()
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -109,9 +109,9 @@
 func (s *slot) release(end ending) {
 	now := time.Now()
 	p := s.pool
-	may := p.owner.permit(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	s.row.remove(s.start)
 	p.record(s.row, now.Sub(s.start), end)
 	if end.answered {
--- a/internal/traffic/owner/probe.go
+++ b/internal/traffic/owner/probe.go
@@ -18,9 +18,9 @@
 // sweep refuses waiters of a lost pool, hands out slots that became free
 // without a release, and starts the probes that are due.
 func (p *pool) sweep() {
-	may := p.owner.permit(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	p.pump(may)
 	if !may.owned && p.busy() == 0 {
 		return
@@ -52,9 +52,9 @@
 	if p.owner.life.Err() != nil {
 		return
 	}
-	may := p.owner.permit(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	r.probing = false
 	r.apply(health, err, start)
 	if err == nil && len(r.held) > 0 {
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -124,8 +124,8 @@
 // begin checks the right to dispatch a last time and bounds the attempt. It
 // releases the slot when it refuses.
 func (p *pool) begin(ctx context.Context, s *slot, req *work.Request) (*attempt, *work.Response) {
-	may := p.owner.permit(p)
-	if refusal := p.recheck(may, s.row); refusal != nil {
+	may, refusal := p.recheck(s.row)
+	if refusal != nil {
 		s.release(ending{})
 		return nil, refusal
 	}
@@ -139,7 +139,6 @@
 		a.deadline = req.Deadline
 	}
 	a.ctx, a.cancel = context.WithDeadline(ctx, a.deadline)
-	p.count(may)
 	return a, nil
 }
 
@@ -157,29 +156,23 @@
 }
 
 // recheck returns a refusal when the right to dispatch was lost since the slot
-// was given, such as by a pause of the process.
-func (p *pool) recheck(may permit, r *row) *work.Response {
+// was given, such as by a pause of the process. Otherwise it counts a dispatch.
+func (p *pool) recheck(r *row) (permit, *work.Response) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	switch {
 	case !may.owned:
-		return work.Refuse(work.ReasonNotOwner, 0)
+		return may, work.Refuse(work.ReasonNotOwner, 0)
 	case !may.fresh:
-		return work.Refuse(work.ReasonNotReady, 0)
+		return may, work.Refuse(work.ReasonNotReady, 0)
 	case r.allowed(may) == 0:
-		return work.Refuse(work.ReasonNoUpstream, 0)
-	default:
-		return nil
+		return may, work.Refuse(work.ReasonNoUpstream, 0)
 	}
-}
-
-// count notes a dispatch for the budgets.
-func (p *pool) count(may permit) {
 	p.owner.stats.Dispatches.Add(1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.retries.earn(may.policy.RetryBudget)
 	p.hedges.earn(may.policy.HedgeBudget)
+	return may, nil
 }
 
 // conclude releases the slot of an attempt and applies what it shows of the
