Wait for an owner in the router and ask silent peers first

Causes: while a pool changed owners the router refused at once with a Retry-After of 1 s, so that callers saw seconds; requests sent to a peer that was dead or frozen but still listed waited for half of their time (lookups) or ended unknown (orders).

Ruled out: asking for a slot first and sending the body after the grant, which costs each order to a peer a round trip.

--- /dev/null
+++ b/internal/traffic/failure_test.go
@@ -0,0 +1,85 @@
+package traffic_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"sycamoreledge.example/internal/work"
+)
+
+// The own zone's pool has no owner for a moment: callers notice nothing.
+func TestChangeOfOwnerIsWaitedFor(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.unowned = map[string]bool{"z1": true, "z2": true} })
+		time.AfterFunc(300*time.Millisecond, func() { f.set(func() { f.unowned = nil }) })
+		f.set(func() { f.preset.Services[0].ShiftRate = 0 })
+		start := time.Now()
+		resp := f.routers["i1"].Serve(t.Context(), f.request(2*time.Second))
+		g.Expect(resp.Outcome).To(gomega.Equal(work.Run), resp.Explain)
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 400*time.Millisecond))
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+func TestNoOwnerIsRefusedWithShortAdvice(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.unowned = map[string]bool{"z1": true, "z2": true, "z3": true, "z4": true} })
+		start := time.Now()
+		resp := f.routers["i1"].Serve(t.Context(), f.request(10*time.Second))
+		g.Expect(resp.Outcome).To(gomega.Equal(work.NotRun))
+		g.Expect(resp.Reason).To(gomega.Equal(work.ReasonNoOwner))
+		g.Expect(resp.RetryAfter).To(gomega.BeNumerically("~", 100*time.Millisecond, 100*time.Millisecond))
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 1100*time.Millisecond))
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
+
+// The neighbour, which owns the only free pool of the region, is frozen and
+// still counts as alive: nothing sent to it comes back. Orders must not end
+// unknown for it, and lookups not wait for it each time.
+func TestFrozenPeer(t *testing.T) {
+	for _, kind := range []work.Kind{work.Order, work.Lookup} {
+		t.Run(string(kind), func(t *testing.T) {
+			inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+				f.set(func() {
+					f.frozen = map[string]bool{"i2": true}
+					f.drained = map[string]bool{"z1": true}
+				})
+				const count = 100
+				unknown, slow := 0, 0
+				for range count {
+					start := time.Now()
+					resp := f.routers["i1"].Serve(t.Context(), f.request(2*time.Second))
+					if resp.Outcome == work.Unknown {
+						unknown++
+					}
+					if time.Since(start) > 500*time.Millisecond {
+						slow++
+					}
+					<-time.After(20 * time.Millisecond)
+				}
+				t.Logf("%d unknown, %d slower than 500 ms, of %d", unknown, slow, count)
+				g.Expect(unknown).To(gomega.BeZero())
+				g.Expect(slow).To(gomega.BeNumerically("<=", 10))
+				g.Expect(f.runsIn("z3", "z4")).To(gomega.BeNumerically(">=", 50))
+			}, func() *fleet {
+				f := newFleet(kind, 2, 3, 1)
+				f.preset.Services[0].DispatchTimeout = 300 * time.Millisecond
+				return f
+			})
+		})
+	}
+}
+
+// A caller that leaves during a round ends it.
+func TestCallerGoneWhileNobodyOwnsThePool(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.unowned = map[string]bool{"z1": true, "z2": true, "z3": true, "z4": true} })
+		ctx, cancel := context.WithTimeout(t.Context(), 40*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		g.Expect(f.routers["i1"].Serve(ctx, f.request(2*time.Second)).Outcome).To(gomega.Equal(work.NotRun))
+		g.Expect(time.Since(start)).To(gomega.Equal(40 * time.Millisecond))
+	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
+}
--- a/internal/traffic/router.go
+++ b/internal/traffic/router.go
@@ -43,6 +43,7 @@
 	services map[string]*service
 	shifts   *shifts
 	inbound  *inbound
+	liveness *liveness
 	stats    Stats
 }
 
@@ -57,6 +58,7 @@
 		pools:    opt.Pools,
 		peers:    opt.Peers,
 		services: make(map[string]*service),
+		liveness: newLiveness(),
 		shifts:   newShifts(opt.Topology, opt.Topology.RegionOf(zone)),
 		inbound:  newInbound(opt.Topology, opt.Topology.RegionOf(zone)),
 	}
@@ -113,6 +115,9 @@
 	if svc == nil {
 		return work.Refuse(work.ReasonUnknownService, 0)
 	}
+	if req.Method == pingMethod {
+		return work.Refuse(work.ReasonNotReady, 0)
+	}
 	own := *req
 	own.Kind = svc.kind
 	own.Origin = zone
--- a/internal/traffic/stats.go
+++ b/internal/traffic/stats.go
@@ -17,6 +17,10 @@
 	// Shifted counts requests sent to other regions.
 	Shifted atomic.Int64
 	Retries atomic.Int64
+	// Pings counts questions whether a peer is there.
+	Pings atomic.Int64
+	// Rounds counts repeated rounds for want of an owner.
+	Rounds atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[work.Reason]int64
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"sycamoreledge.example/internal/control"
-	"sycamoreledge.example/internal/peer"
 	"sycamoreledge.example/internal/replay"
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/work"
@@ -22,6 +21,16 @@
 	// lookupShare is the part of the time left that one attempt of a lookup at
 	// a peer may take, so that a silent one leaves time for another.
 	lookupShare = 0.5
+	// roundPause is the time between two rounds of asking, maxPatience that in
+	// which rounds may start.
+	roundPause  = 25 * time.Millisecond
+	maxPatience = time.Second
+	// maxExplain bounds the explanation, in bytes.
+	maxExplain = 1 << 10
+	// minAdvice is the advice for a later try when nothing better is known.
+	minAdvice = 100 * time.Millisecond
+	// overdue is how long after its deadline the answer of a peer is awaited.
+	overdue = 20 * time.Millisecond
 	// maxShiftAsks bounds the pools of other regions that are asked.
 	maxShiftAsks = 3
 )
@@ -43,21 +52,60 @@
 	// wait is the shortest wait that a refusing pool of the region expects.
 	wait time.Duration
 	asks int
+	// unowned is set when a pool of the region had no owner in this round.
+	unowned bool
 }
 
-// run asks the candidates in turn until one runs the request.
+// run asks the candidates in turn until one runs the request. While a pool of
+// the region has no owner, such as between two, it tries again.
 func (t *trip) run(ctx context.Context) *work.Response {
+	patience := time.Now().Add(min(maxPatience, time.Until(t.req.Deadline)/2))
+	for {
+		if resp := t.round(ctx); resp != nil {
+			return resp
+		}
+		if !t.unowned || !t.body.Replayable() || time.Now().After(patience) || !t.pause(ctx) {
+			return t.last()
+		}
+	}
+}
+
+// round asks the candidates once.
+func (t *trip) round(ctx context.Context) *work.Response {
+	t.unowned, t.wait, t.refusal = false, 0, nil
 	stages := []func(context.Context) *work.Response{t.askRegion, t.askFar, t.queue, t.askFarAtLast}
 	for _, stage := range stages {
 		if resp := stage(ctx); resp != nil {
 			return resp
 		}
 	}
+	return nil
+}
+
+// pause waits for the next round, which sees a new snapshot.
+func (t *trip) pause(ctx context.Context) bool {
+	timer := time.NewTimer(roundPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	t.snap = t.router.snapshot()
+	t.router.stats.Rounds.Add(1)
+	return true
+}
+
+// last returns the answer when nothing ran the request.
+func (t *trip) last() *work.Response {
 	if t.unknown != nil {
 		return t.unknown
 	}
 	if t.refusal == nil {
-		return work.Refuse(work.ReasonNoOwner, time.Second)
+		return work.Refuse(work.ReasonNoOwner, minAdvice)
+	}
+	if t.refusal.RetryAfter == 0 {
+		t.refusal.RetryAfter = minAdvice
 	}
 	return t.refusal
 }
@@ -125,7 +173,7 @@
 		}
 		if !t.router.shifts.allow(now, t.policy, r.region) {
 			t.note(r, "", string(work.ReasonShiftCap))
-			t.refuse(work.Refuse(work.ReasonShiftCap, time.Second))
+			t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
 			continue
 		}
 		t.asks++
@@ -180,6 +228,7 @@
 func (t *trip) ask(ctx context.Context, r *route, queue bool) *work.Response {
 	if !t.reachable(r) {
 		t.note(r, "", "drained or without owner")
+		t.unowned = t.unowned || r.tier == ownZone && !t.snap.DrainedZones[r.pool.Zone]
 		return nil
 	}
 	for _, name := range t.owners(r) {
@@ -213,30 +262,6 @@
 	return append(first, rest...)
 }
 
-// send makes one attempt; it returns false when the body can't be sent again.
-func (t *trip) send(ctx context.Context, r *route, name string, queue bool) (*work.Response, bool) {
-	reader, ok := t.body.Next()
-	if !ok {
-		return nil, false
-	}
-	req := *t.req
-	req.Pool = r.pool
-	req.Queue = queue
-	req.Body = nil
-	if t.req.Body != nil {
-		req.Body = reader
-	}
-	t.router.stats.Asks.Add(1)
-	if name == t.router.self {
-		return t.router.pools.Serve(ctx, &req), true
-	}
-	if req.Kind.Idempotent() {
-		left := time.Until(req.Deadline)
-		req.Deadline = time.Now().Add(time.Duration(float64(left) * lookupShare))
-	}
-	return t.router.peers.Do(ctx, name, peer.RolePool, &req), true
-}
-
 // judge returns the response when it is final, and nil when a further attempt is
 // safe.
 func (t *trip) judge(r *route, resp *work.Response) *work.Response {
@@ -247,6 +272,7 @@
 	case work.NotRun:
 		t.learn(r, resp)
 		t.refuse(resp)
+		t.unowned = t.unowned || r.tier == ownZone && ownerless(resp.Reason)
 		if resp.Reason == work.ReasonCanceled || resp.Reason == work.ReasonBadRequest {
 			return t.settled()
 		}
@@ -262,6 +288,17 @@
 	return nil
 }
 
+// ownerless reports whether a refusal means that the pool has no owner that can
+// be reached now.
+func ownerless(reason work.Reason) bool {
+	switch reason {
+	case work.ReasonNotOwner, work.ReasonNotReady, work.ReasonPeerUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 // learn notes what a refusal tells of the pool.
 func (t *trip) learn(r *route, resp *work.Response) {
 	switch resp.Reason {
@@ -289,17 +326,17 @@
 
 // settled returns what the attempts so far amount to.
 func (t *trip) settled() *work.Response {
-	if t.unknown != nil {
-		return t.unknown
+	if t.unknown == nil && t.refusal == nil {
+		return work.Refuse(work.ReasonBadRequest, 0)
 	}
-	if t.refusal != nil {
-		return t.refusal
-	}
-	return work.Refuse(work.ReasonBadRequest, 0)
+	return t.last()
 }
 
 // note adds a step to the explanation.
 func (t *trip) note(r *route, owner, what string) {
+	if t.explain.Len() > maxExplain {
+		return
+	}
 	if t.explain.Len() > 0 {
 		t.explain.WriteString("; ")
 	}
