--- a/internal/traffic/owner/fault_test.go
+++ b/internal/traffic/owner/fault_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// An upstream that answers probes and breaks all requests must not get the
+// second attempt as well.
+func TestRetryAvoidsTheUpstreamThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBench(work.Lookup, 2, 1)
+		b.upstreams.all["u2"].fault = work.ReasonUpstreamBroken
+		b.upstreams.all["u2"].healthy = true
+		first := b.start(t.Context(), b.request(time.Second)) // takes u1
+		synctest.Wait()
+		resp := b.owner.Serve(t.Context(), b.request(time.Second))
+		g.Expect(resp.Outcome).To(gomega.Equal(work.Run))
+		g.Expect(resp.Upstream).To(gomega.Equal("u1"))
+		g.Expect((<-first).Upstream).To(gomega.Equal("u1"))
+		g.Expect(b.upstreams.runsOf("u2")).To(gomega.Equal(1))
+	})
+}
+
 func TestRefusalAfterUnknownStaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -178,3 +196,29 @@
 		<-time.After(time.Second)
 	})
 }
+
+// A request that runs out of time says nothing of an upstream that answers
+// others meanwhile.
+func TestTimeoutOfOneRequestKeepsTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBench(work.Order, 1, 2)
+		first := true
+		b.upstreams.all["u1"].service = func() time.Duration {
+			if first {
+				first = false
+				return time.Second
+			}
+			return serviceTime
+		}
+		straggler := b.start(t.Context(), b.request(100*time.Millisecond))
+		synctest.Wait()
+		for range 4 {
+			g.Expect(b.owner.Serve(t.Context(), b.request(time.Second)).Outcome).To(gomega.Equal(work.Run))
+		}
+		g.Expect((<-straggler).Outcome).To(gomega.Equal(work.Unknown))
+		g.Expect(b.owner.Serve(t.Context(), b.request(time.Second)).Outcome).To(gomega.Equal(work.Run))
+		synctest.Wait()
+		g.Expect(b.owner.InFlight(b.pool)).To(gomega.BeZero(), "the probe freed the slot")
+	})
+}
