Send digests by origin, and changes of load to the region alone

Cause: above 8 zones speakers passed on the rows of all zones, so that each row reached each speaker some 70 times, and every change of a pool's load went to the whole fleet. With 800 instances a speaker used 752 KB/s.

Change: speakers send the rows of their own zone only: to the zones of their region in each interval, to the others in turn, and to all at once when a state, a successor or a failure changed. Load and configuration versions go to the region, at an interval that grows with it. Rows are refreshed at a rate that counts their relay within the zone; instead, zones are watched for silence, and rows lost meanwhile are asked for. A digest carries the sender's configuration version. A speaker does not repeat what another one has told the zone. Fleets of the present sizes keep their intervals.

Ruled out: choosing the target among the speakers of a zone by the common cursor. It kept parity with the turn, so that one of two speakers was never told; with 800 instances 59 were known.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -49,6 +49,7 @@
 	policy map[string]settings.ServicePolicy // by service
 
 	members  []member
+	outside  []outsideZone // by zone
 	pools    []ownedPool
 	wards    []ward
 	unclean  map[Identity]bool
@@ -95,6 +96,7 @@
 		load:     map[int]PoolStatus{},
 		leaving:  leavingLists{},
 		members:  newMembers(ix, p.Start),
+		outside:  newOutside(ix, p.Start),
 	}
 	c.machine = newInstanceMachine(&c.state)
 	c.spread = newSpread(ix)
--- a/internal/control/index.go
+++ b/internal/control/index.go
@@ -79,6 +79,28 @@
 	return first + (i+1)%count
 }
 
+// largestZone returns the number of instances of the largest zone.
+func (ix *index) largestZone() int {
+	largest := 0
+	for z := range ix.zones {
+		largest = max(largest, len(ix.zones[z].instances))
+	}
+	return largest
+}
+
+// largestRegion returns the number of instances of the largest region.
+func (ix *index) largestRegion() int {
+	counts := map[string]int{}
+	for z := range ix.zones {
+		counts[ix.zones[z].region] += len(ix.zones[z].instances)
+	}
+	largest := 0
+	for _, count := range counts {
+		largest = max(largest, count)
+	}
+	return largest
+}
+
 func (ix *index) addInstances(zone int, instances []settings.Instance) {
 	for _, inst := range instances {
 		n := len(ix.instances)
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -39,9 +39,14 @@
 	pools     []PoolStatus
 	learnedAt time.Time
 	rowFailed bool
-	// fromOutside is set where the row came from another zone.
-	fromOutside bool
-	changedAt   uint64
+	// learnedFrom is the instance that sent the row, passedAt when it was last
+	// marked for the whole fleet.
+	learnedFrom int
+	passedAt    time.Time
+	// changedAt and loadedAt are clocks of the spread: of the last change that
+	// concerns the whole fleet, and of the last one of any kind.
+	changedAt uint64
+	loadedAt  uint64
 
 	configSentAt  time.Time
 	configAskedAt time.Time
@@ -91,12 +96,14 @@
 	if m.heard && m.state != Left {
 		c.blockPoolsOf(i, m.heardAt)
 	}
+	c.spread.sentTo[i] = 0
 	*m = member{
 		incarnation: incarnation,
 		state:       Joining,
 		heardAt:     c.now,
 		learnedAt:   m.learnedAt,
 		changedAt:   m.changedAt,
+		loadedAt:    m.loadedAt,
 		contact:     m.contact,
 	}
 }
@@ -118,7 +125,7 @@
 		if c.ix.instances[i].zone == c.zone && m.heard {
 			c.blockPoolsOf(i, m.heardAt)
 		}
-		c.spread.touch(m)
+		c.spread.touchUrgent(m)
 	}
 }
 
@@ -148,8 +155,14 @@
 	}
 }
 
-// rowAlive reports whether the row of an instance says that it is alive.
+// rowAlive reports whether an instance that this one does not hear is alive,
+// by its row and by what is heard of its zone.
 func (c *Core) rowAlive(i int) bool {
+	return c.rowFresh(i) && !c.zoneSilent(c.ix.instances[i].zone)
+}
+
+// rowFresh reports whether the row of an instance alone says that it is alive.
+func (c *Core) rowFresh(i int) bool {
 	m := &c.members[i]
 	return m.state != Left && m.incarnation > 0 &&
 		!m.rowFailed && c.now.Sub(m.learnedAt) <= c.spread.timeout
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -58,7 +58,18 @@
 // Digest describes one instance to others. Relays pass digests on to the
 // members of their zone and to other zones.
 type Digest struct {
-	Rows []DigestRow `cbor:"1,keyasint"`
+	Rows []DigestRow `cbor:"1,keyasint,omitempty"`
+	// Silent lists the zones that the sender, a speaker of the receiver's zone,
+	// has not heard for long, as indexes in declared order.
+	Silent []int `cbor:"2,keyasint,omitempty"`
+	// ConfigVersion is that of the sender.
+	ConfigVersion int64 `cbor:"3,keyasint,omitempty"`
+	// Resend asks the receiver for all rows of its zone: its digests may have
+	// been lost.
+	Resend bool `cbor:"4,keyasint,omitempty"`
+	// Heard lists the zones of which the sender, no speaker, has got a digest
+	// that was meant for the speakers of its zone.
+	Heard []int `cbor:"5,keyasint,omitempty"`
 }
 
 // DigestRow is what is known of one instance. Of two rows about the same
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -12,15 +11,18 @@
 	// zones and with all members of their own.
 	speakerRanks = 2
 	// fullMeshZones is the number of zones up to which speakers send to all
-	// other zones directly; above it rows are passed on by fanout.
+	// other zones in each interval; above it they send to the zones of their
+	// region, and to the others in turn.
 	fullMeshZones = 8
-	// zoneFanout is how many other zones a speaker sends to in one interval
-	// above fullMeshZones.
+	// zoneFanout is how many zones of other regions a speaker sends to in one
+	// interval above fullMeshZones.
 	zoneFanout = 4
-	// rowBytes is the size of an encoded digest row with one pool, and
-	// refreshBytesPerSecond what refreshing unchanged rows may cost.
-	rowBytes              = 60
+	// rowBytes is the size of an encoded digest row with one pool.
+	rowBytes = 60
+	// refreshBytesPerSecond and loadBytesPerSecond are what a speaker may spend
+	// on refreshing unchanged rows, and on rows of which only the load changed.
 	refreshBytesPerSecond = 3000
+	loadBytesPerSecond    = 6000
 	// minRefresh is the shortest interval between refreshes of a row.
 	minRefresh = time.Second
 	// refreshesToTimeout is how many refreshes a remote row may miss before
@@ -36,12 +38,23 @@
 	nextHeartbeat time.Time
 	nextDigest    time.Time
 	nextRefresh   time.Time
-	refresh       time.Duration
-	timeout       time.Duration
+	nextLoad      time.Time
+	// refresh is the interval between refreshes of the own row, load the
+	// shortest one between changes of its load.
+	refresh time.Duration
+	load    time.Duration
+	timeout time.Duration
 	// clock counts changes of rows; sentTo holds its value at the last digest
 	// to an instance.
 	clock  uint64
 	sentTo map[int]uint64
+	// heard lists the zones that the speakers of the own zone are told of.
+	heard []int
+	// speaking is set while this instance speaks for its zone.
+	speaking bool
+	// urgent is the clock of the newest change of a row of the own zone that
+	// all zones are to be told at once, urgentSent the one they were told.
+	urgent, urgentSent uint64
 	// cursor rotates over zones, and over instances of unknown zones.
 	cursor int
 	// sequence and told are of the own row.
@@ -52,123 +65,45 @@
 	longest map[string]time.Duration
 }
 
+// newSpread sets the intervals so that a speaker, which passes each row on to
+// all members of its zone, keeps to its budgets.
 func newSpread(ix *index) spread {
-	return spreadFor(len(ix.instances))
-}
-
-func spreadFor(instances int) spread {
-	byBudget := time.Duration(instances*rowBytes) * time.Second / refreshBytesPerSecond
-	refresh := max(minRefresh, byBudget)
+	zone, region := ix.largestZone(), ix.largestRegion()
+	refresh := max(minRefresh, atRate(len(ix.instances)*zone, refreshBytesPerSecond))
 	return spread{
 		refresh: refresh,
+		load:    atRate(region*zone, loadBytesPerSecond),
 		timeout: refreshesToTimeout * refresh,
 		sentTo:  map[int]uint64{},
 	}
 }
 
+// atRate returns the time in which so many rows are sent.
+func atRate(rows, bytesPerSecond int) time.Duration {
+	return time.Duration(rows*rowBytes) * time.Second / time.Duration(bytesPerSecond)
+}
+
 // touch marks a row as changed, so that it is part of the next digests.
 func (s *spread) touch(m *member) {
-	s.clock++
+	s.touchLoad(m)
 	m.changedAt = s.clock
 }
 
-// hurry makes the next digest due at once.
-func (s *spread) hurry() { s.nextDigest = time.Time{} }
-
-// speakers returns the instances of a zone that speak for it, best first.
-func (c *Core) speakers(zone int) []int {
-	var live []int
-	for _, i := range c.ix.zones[zone].instances {
-		if c.alive(i) {
-			live = append(live, i)
-		}
-	}
-	ranked := c.ix.rank("speaker/"+c.ix.zones[zone].name, live)
-	return ranked[:min(speakerRanks, len(ranked))]
-}
-
-func (c *Core) sendDigests() {
-	if c.now.Before(c.spread.nextDigest) {
-		return
-	}
-	c.sendDigestsNow()
-}
-
-func (c *Core) sendDigestsNow() {
-	c.spread.nextDigest = c.now.Add(c.timing.Digest)
-	c.updateOwnRow()
-	speakers := c.speakers(c.zone)
-	if !slices.Contains(speakers, c.self) {
-		for _, i := range speakers {
-			c.sendRows(i, func(row int) bool { return row == c.self || c.members[row].fromOutside })
-		}
-		return
-	}
-	for _, i := range c.ix.zones[c.zone].instances {
-		if i != c.self {
-			c.sendRows(i, func(row int) bool { return row != i })
-		}
-	}
-	for _, z := range c.digestZones() {
-		if i := c.digestTarget(z); i >= 0 {
-			c.sendRows(i, func(row int) bool { return c.passOn(row, z) })
-		}
-	}
-	c.spread.cursor++
-}
-
-// digestZones returns the other zones that are sent to in this interval.
-func (c *Core) digestZones() []int {
-	var others []int
-	for z := range c.ix.zones {
-		if z != c.zone && len(c.ix.zones[z].instances) > 0 {
-			others = append(others, z)
-		}
-	}
-	if len(c.ix.zones) <= fullMeshZones {
-		return others
-	}
-	chosen := make([]int, 0, zoneFanout)
-	for n := range min(zoneFanout, len(others)) {
-		chosen = append(chosen, others[(c.spread.cursor*zoneFanout+n)%len(others)])
-	}
-	return chosen
-}
-
-// digestTarget picks a speaker of another zone; where none is known to live,
-// its declared instances in turn.
-func (c *Core) digestTarget(zone int) int {
-	speakers := c.speakers(zone)
-	if len(speakers) > 0 {
-		return speakers[c.spread.cursor%len(speakers)]
-	}
-	declared := c.ix.zones[zone].instances
-	return declared[c.spread.cursor%len(declared)]
+// touchLoad marks a row of which only the load or the version of the
+// configuration changed: it is told to the own region alone.
+func (s *spread) touchLoad(m *member) {
+	s.clock++
+	m.loadedAt = s.clock
 }
 
-// passOn reports whether a row belongs into a digest to another zone.
-func (c *Core) passOn(row, zone int) bool {
-	of := c.ix.instances[row].zone
-	if len(c.ix.zones) <= fullMeshZones {
-		return of == c.zone
-	}
-	return of != zone
+// touchUrgent marks a row of the own zone of which all zones are to be told.
+func (s *spread) touchUrgent(m *member) {
+	s.touch(m)
+	s.urgent = s.clock
 }
 
-// sendRows sends the rows that changed since the last digest to the target.
-func (c *Core) sendRows(to int, include func(row int) bool) {
-	since := c.spread.sentTo[to]
-	c.spread.sentTo[to] = c.spread.clock
-	var rows []DigestRow
-	for i := range c.members {
-		if c.members[i].changedAt > since && include(i) && c.rowKnown(i) {
-			rows = append(rows, c.row(i))
-		}
-	}
-	for chunk := range slices.Chunk(rows, rowsPerMessage) {
-		c.send(to, Message{Digest: &Digest{Rows: slices.Clone(chunk)}})
-	}
-}
+// hurry makes the next digest due at once.
+func (s *spread) hurry() { s.nextDigest = time.Time{} }
 
 func (c *Core) rowKnown(i int) bool {
 	return i == c.self || c.members[i].incarnation > 0
@@ -208,16 +143,28 @@
 		Pools:         c.ownPools(),
 	}
 	refresh := !c.now.Before(c.spread.nextRefresh)
-	if !refresh && sameRow(row, c.spread.told) {
+	urgent := row.State != c.spread.told.State || row.Successor != c.spread.told.Successor
+	duties := urgent || !samePools(row.Pools, c.spread.told.Pools)
+	load := !c.now.Before(c.spread.nextLoad) && !sameRow(row, c.spread.told)
+	if !refresh && !duties && !load {
 		return
 	}
 	if refresh {
 		c.spread.nextRefresh = c.now.Add(c.spread.refresh)
 	}
+	c.spread.nextLoad = c.now.Add(c.spread.load)
 	c.spread.sequence++
 	row.Sequence = c.spread.sequence
 	c.spread.told = row
-	c.spread.touch(&c.members[c.self])
+	self := &c.members[c.self]
+	switch {
+	case urgent:
+		c.spread.touchUrgent(self)
+	case refresh || duties:
+		c.spread.touch(self)
+	default:
+		c.spread.touchLoad(self)
+	}
 }
 
 func sameRow(a, b DigestRow) bool {
@@ -225,6 +172,11 @@
 		a.Successor == b.Successor && slices.Equal(a.Pools, b.Pools)
 }
 
+// samePools reports whether both lists name the same pools.
+func samePools(a, b []PoolStatus) bool {
+	return slices.EqualFunc(a, b, func(x, y PoolStatus) bool { return x.Pool == y.Pool })
+}
+
 // ownPools returns the load of the pools this instance dispatches to.
 func (c *Core) ownPools() []PoolStatus {
 	var pools []PoolStatus
@@ -241,77 +193,6 @@
 	return pools
 }
 
-func (c *Core) onDigest(from int, d *Digest) {
-	for i := range d.Rows {
-		c.learnRow(from, &d.Rows[i])
-	}
-}
-
-// learnRow takes a row that is newer than what is known.
-func (c *Core) learnRow(from int, row *DigestRow) {
-	i, declared := c.ix.byName[row.Instance]
-	switch {
-	case !declared:
-		return
-	case i == c.self:
-		c.learnOwnRow(row)
-		return
-	}
-	m := &c.members[i]
-	if !newerRow(m, row) {
-		return
-	}
-	if row.Incarnation > m.incarnation {
-		c.replaceMember(i, row.Incarnation)
-	}
-	m.sequence = row.Sequence
-	m.pools = row.Pools
-	m.configVersion = row.ConfigVersion
-	m.successor = row.Successor
-	m.rowFailed = row.Failed
-	m.learnedAt = c.now
-	m.fromOutside = c.ix.instances[from].zone != c.zone
-	if !m.contact || row.State == Left {
-		c.learnState(i, row.State)
-	}
-	c.spread.touch(m)
-	c.noteSuccessor(i, row)
-	c.compareConfig(from, row.ConfigVersion)
-}
-
-func (c *Core) learnState(i int, state InstanceState) {
-	m := &c.members[i]
-	if m.state == state {
-		return
-	}
-	m.state = state
-	c.emit(Event{Kind: EventMemberState, Instance: c.ix.instances[i].Name, State: state})
-}
-
-func newerRow(m *member, row *DigestRow) bool {
-	order := cmp.Or(
-		cmp.Compare(row.Incarnation, m.incarnation),
-		cmp.Compare(row.Sequence, m.sequence))
-	if order != 0 {
-		return order > 0
-	}
-	return row.Failed && !m.rowFailed
-}
-
-// learnOwnRow answers what others say of this instance.
-func (c *Core) learnOwnRow(row *DigestRow) {
-	switch {
-	case row.Incarnation > c.identity.Incarnation:
-		if c.state != Left {
-			c.emit(Event{Kind: EventSuperseded, Instance: c.identity.Instance})
-			c.Finish()
-		}
-	case row.Incarnation == c.identity.Incarnation && row.Failed:
-		c.spread.nextRefresh = time.Time{}
-		c.spread.hurry()
-	}
-}
-
 func sortedKeys[V any](m map[int]V) []int {
 	return slices.Sorted(maps.Keys(m))
 }
