--- a/cmd/lab/links.go
+++ b/cmd/lab/links.go
@@ -19,11 +19,11 @@
 	if err != nil {
 		return err
 	}
-	links, err := link.New(linkConfig(p))
+	links, err := link.New(link.ConfigOf(p))
 	if err != nil {
 		return err
 	}
-	defer links.Close()
+	defer func() { _ = links.Close() }()
 	ln, err := net.Listen("tcp", p.LinkAdmin)
 	if err != nil {
 		return err
@@ -31,43 +31,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("/lab/links", links)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(ln); err != http.ErrServerClosed {
 		return err
 	}
 	return nil
 }
-
-// linkConfig derives delays and rates from the firm.
-func linkConfig(p *firm.Plan) link.Config {
-	config := link.Config{
-		Delay: func(from, to link.Zone) time.Duration {
-			l := p.Topology.Link(from.Region, to.Region)
-			if from.Region == to.Region || l == nil {
-				return p.World.ZoneLatency
-			}
-			return l.OneWay()
-		},
-		Rate: func(from, to string) float64 {
-			if l := p.Topology.Link(from, to); l != nil {
-				return l.BytesPerSecond()
-			}
-			return 0
-		},
-	}
-	for region, zone := range p.Topology.Zones() {
-		config.Zones = append(config.Zones, link.Zone{Name: zone.Name, Region: region.Name})
-	}
-	for _, f := range p.Forwards {
-		config.Forwards = append(config.Forwards, link.Forward{
-			From:     f.From,
-			To:       f.To,
-			Network:  f.Network,
-			Listen:   f.Listen,
-			Target:   f.Target,
-			Platform: f.Target == p.Platform,
-		})
-	}
-	return config
-}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -39,8 +39,7 @@
 	machine *stateless.StateMachine
 	state   InstanceState
 	// resumed is when the instance last started or came back from a pause.
-	resumed   time.Time
-	successor string
+	resumed time.Time
 	// retired is set once all pools are given up for good.
 	retired bool
 
@@ -57,7 +56,7 @@
 	lastSent int64
 	load     map[int]PoolStatus
 	leaving  leavingLists
-	succeed  successors
+	held     []held
 	messages []Outbound
 	events   []Event
 	// stale is set when the last snapshot no longer shows the tables.
@@ -136,7 +135,7 @@
 	c.sendHeartbeats()
 	c.sendDigests()
 	c.leaving.expire(c.now)
-	c.expireSuccessors()
+	c.expireHeld()
 	c.stale = true
 }
 
@@ -186,6 +185,16 @@
 	c.messages = append(c.messages, Outbound{To: c.ix.instances[to].Name, Msg: msg})
 }
 
+// Settled reports whether all runs that were not known to have stopped cleanly
+// at the start are by now accounted for.
+func (c *Core) Settled() bool {
+	longest := time.Duration(0)
+	for _, timeout := range c.spread.longest {
+		longest = max(longest, timeout)
+	}
+	return len(c.unclean) == 0 || c.now.After(c.start.Add(c.timing.Lease+longest))
+}
+
 // owns reports whether this instance may take part in ownership.
 func (c *Core) owns() bool {
 	return !c.retired && (c.state == Serving || c.state == Leaving)
--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -105,7 +105,7 @@
 			far = append(far, z)
 		}
 	}
-	if c.fullMesh() || c.spread.urgent > c.spread.urgentSent {
+	if c.ix.fullMesh() || c.spread.urgent > c.spread.urgentSent {
 		return append(near, far...)
 	}
 	for n := range min(zoneFanout, len(far)) {
@@ -115,7 +115,7 @@
 }
 
 // fullMesh reports whether speakers send to all zones in each interval.
-func (c *Core) fullMesh() bool { return len(c.ix.zones) <= fullMeshZones }
+func (ix *index) fullMesh() bool { return len(ix.zones) <= fullMeshZones }
 
 // nearZone reports whether a zone is in the own region.
 func (c *Core) nearZone(z int) bool { return c.ix.zones[z].region == c.ix.zones[c.zone].region }
@@ -163,7 +163,7 @@
 // to be told.
 func (c *Core) changeFor(to, row int) uint64 {
 	m := &c.members[row]
-	if c.fullMesh() || c.regionOf(to) == c.regionOf(row) {
+	if c.ix.fullMesh() || c.regionOf(to) == c.regionOf(row) {
 		return m.loadedAt
 	}
 	return m.changedAt
--- a/internal/control/learn.go
+++ b/internal/control/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 		return
 	}
 	urgent := row.Incarnation > m.incarnation || row.Failed != m.rowFailed ||
-		row.State != m.state || row.Successor != m.successor
+		row.State != m.state || !slices.Equal(row.Holds, m.holds)
 	duties := urgent || !samePools(row.Pools, m.pools)
 	if row.Incarnation > m.incarnation {
 		c.replaceMember(i, row.Incarnation)
@@ -36,7 +37,7 @@
 	m.sequence = row.Sequence
 	m.pools = row.Pools
 	m.configVersion = row.ConfigVersion
-	m.successor = row.Successor
+	m.holds = row.Holds
 	m.rowFailed = row.Failed
 	m.learnedAt = c.now
 	m.learnedFrom = from
@@ -44,7 +45,6 @@
 		c.learnState(i, row.State)
 	}
 	c.noteChange(i, urgent, duties)
-	c.noteSuccessor(i, row)
 }
 
 // noteChange marks a learned row for the next digests. A row of which only the
--- a/internal/control/silence.go
+++ b/internal/control/silence.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sycamoreledge.example/internal/settings"
 )
 
 // outsideZone is what is known of the connection to another zone.
@@ -33,17 +35,32 @@
 
 // slowRows reports whether rows are refreshed so seldom that zones, and not
 // rows, are watched for silence.
-func (c *Core) slowRows() bool { return c.spread.refresh > minRefresh }
+func (s *spread) slowRows() bool { return s.refresh > minRefresh }
 
 // silence is the time after which a speaker counts another zone as silent.
-func (c *Core) silence() time.Duration {
-	if c.fullMesh() {
+func (ix *index) silence(digest time.Duration) time.Duration {
+	if ix.fullMesh() {
 		return refreshesToTimeout * minRefresh
 	}
-	intervals := (len(c.ix.zones) + zoneFanout - 1) / zoneFanout
-	return time.Duration(roundsToSilence*intervals) * c.timing.Digest
+	intervals := (len(ix.zones) + zoneFanout - 1) / zoneFanout
+	return time.Duration(roundsToSilence*intervals) * digest
 }
 
+// RemoteTimeout is how long an instance of another zone counts as alive after
+// the last word of it, or of its zone, in a fleet.
+func RemoteTimeout(top *settings.Topology, timing settings.ControlSettings) time.Duration {
+	ix := newIndex(top)
+	s := newSpread(ix)
+	if s.slowRows() {
+		return ix.silence(timing.Digest) + mateSilence(timing.Digest)
+	}
+	return s.timeout
+}
+
+// mateSilence is how long the members of a zone hold another zone for silent
+// after a speaker said so.
+func mateSilence(digest time.Duration) time.Duration { return 3 * silentEvery * digest }
+
 // noteZone takes what a digest says of zones.
 func (c *Core) noteZone(from int, d *Digest) {
 	z := c.ix.instances[from].zone
@@ -96,18 +113,18 @@
 func (c *Core) noteMateSilence(zones []int) {
 	for _, z := range zones {
 		if z >= 0 && z < len(c.outside) {
-			c.outside[z].silentUntil = c.now.Add(3 * silentEvery * c.timing.Digest)
+			c.outside[z].silentUntil = c.now.Add(mateSilence(c.timing.Digest))
 		}
 	}
 }
 
 // noteSilentZones marks the zones that have not been heard for long.
 func (c *Core) noteSilentZones() {
-	if !c.slowRows() {
+	if !c.spread.slowRows() {
 		return
 	}
 	for z := range c.outside {
-		if z != c.zone && c.now.Sub(c.outside[z].heardAt) > c.silence() {
+		if z != c.zone && c.now.Sub(c.outside[z].heardAt) > c.ix.silence(c.timing.Digest) {
 			c.outside[z].silent = true
 		}
 	}
@@ -135,7 +152,7 @@
 
 // signOfLife reports whether a digest without rows is sent to the target.
 func (c *Core) signOfLife(to int) bool {
-	return c.slowRows() && c.ix.instances[to].zone != c.zone
+	return c.spread.slowRows() && c.ix.instances[to].zone != c.zone
 }
 
 // wantsResend reports, once after each silence, that the zone of the target is
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -125,7 +125,7 @@
 		Sequence:      m.sequence,
 		State:         m.state,
 		ConfigVersion: m.configVersion,
-		Successor:     m.successor,
+		Holds:         m.holds,
 		Pools:         m.pools,
 		Failed:        failed,
 	}
@@ -139,11 +139,11 @@
 		Incarnation:   c.identity.Incarnation,
 		State:         c.state,
 		ConfigVersion: c.config.Version,
-		Successor:     c.successor,
+		Holds:         c.holds(),
 		Pools:         c.ownPools(),
 	}
 	refresh := !c.now.Before(c.spread.nextRefresh)
-	urgent := row.State != c.spread.told.State || row.Successor != c.spread.told.Successor
+	urgent := row.State != c.spread.told.State || !slices.Equal(row.Holds, c.spread.told.Holds)
 	duties := urgent || !samePools(row.Pools, c.spread.told.Pools)
 	load := !c.now.Before(c.spread.nextLoad) && !sameRow(row, c.spread.told)
 	if !refresh && !duties && !load {
@@ -169,7 +169,7 @@
 
 func sameRow(a, b DigestRow) bool {
 	return a.State == b.State && a.ConfigVersion == b.ConfigVersion &&
-		a.Successor == b.Successor && slices.Equal(a.Pools, b.Pools)
+		slices.Equal(a.Holds, b.Holds) && slices.Equal(a.Pools, b.Pools)
 }
 
 // samePools reports whether both lists name the same pools.
