Measure spreading, failures, calls to the platform and look-ups

Change: lab capacity has further parts. Spread gives a configuration to all watchers, or to one, and counts ticks and bytes until all instances have it. Failures kills and replaces an instance, a rack and a zone and cuts a region off, and keeps the heaviest 5 s of any instance. Platform runs the watchers of a fleet against a platform in memory, through an outage. Lookups builds the table of blocks and asks GET /v1/entries over loopback. A benchmark runs the tick at 8, 80, 800 and 2,400 members.

Ruled out: failures in the default parts, since a region cut takes minutes at 800 members.

--- /dev/null
+++ b/internal/lab/capacity/bench_test.go
@@ -0,0 +1,73 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/lab/capacity"
+	"sycamoreledge.example/internal/settings"
+)
+
+const benchTick = 100 * time.Millisecond
+
+// BenchmarkTick runs one core of a fleet whose members all serve, with the
+// heartbeats of its zone, through its ticks.
+func BenchmarkTick(b *testing.B) {
+	for _, shape := range capacity.Shapes {
+		b.Run(fmt.Sprint(shape.Members), func(b *testing.B) {
+			top := shape.Topology()
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			core := newCore(top, now)
+			learnAll(core, top, now)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(benchTick)
+				heartbeats(core, top, now, int64(i+1))
+				core.Tick(now)
+				core.Ready()
+			}
+		})
+	}
+}
+
+func newCore(top *settings.Topology, now time.Time) *control.Core {
+	return control.New(control.Params{
+		Self:        top.Instances()[0].Name,
+		Incarnation: 1,
+		Topology:    top,
+		Timing: settings.ControlSettings{
+			Tick:      benchTick,
+			Heartbeat: 300 * time.Millisecond,
+			Lease:     1500 * time.Millisecond,
+			Digest:    500 * time.Millisecond,
+		},
+		Initial: capacity.Preset(top, "ordinary"),
+		Start:   now,
+	})
+}
+
+// learnAll fills the table of members by digests of a member of the zone.
+func learnAll(core *control.Core, top *settings.Topology, now time.Time) {
+	from := top.Instances()[0].Name
+	for _, zone := range top.Zones() {
+		if len(zone.Instances) > 1 {
+			from = zone.Instances[1].Name
+			break
+		}
+	}
+	for _, inst := range top.Instances() {
+		row := control.DigestRow{Instance: inst.Name, Incarnation: 1, Sequence: 1, State: control.Serving}
+		core.Step(now, control.Message{From: from, Incarnation: 1, Digest: &control.Digest{Rows: []control.DigestRow{row}}})
+	}
+}
+
+// heartbeats passes in one heartbeat of each other member of the zone.
+func heartbeats(core *control.Core, top *settings.Topology, now time.Time, sentAt int64) {
+	for _, inst := range top.Regions[0].Zones[0].Instances[1:] {
+		core.Step(now, control.Message{From: inst.Name, Incarnation: 1, Heartbeat: &control.Heartbeat{
+			SentAt: sentAt, Echo: sentAt, EchoOf: 1, State: control.Serving,
+		}})
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/blocks.go
@@ -0,0 +1,91 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"sycamoreledge.example/internal/locate"
+)
+
+// Blocks is what the table of callers' blocks costs.
+type Blocks struct {
+	Count int
+	// Build is the processor time of the first build; Heap the live memory of
+	// the table in bytes.
+	Build time.Duration
+	Heap  uint64
+	// Delta is the processor time of one change of deltaBlocks blocks.
+	Delta time.Duration
+	// Lookup is the processor time of one look-up of a random address.
+	Lookup time.Duration
+}
+
+const (
+	// deltaBlocks is the number of blocks in one change.
+	deltaBlocks = 1000
+	// blockLookups is how many look-ups are timed.
+	blockLookups = 2_000_000
+)
+
+// MeasureBlocks builds a table of /24 blocks over the unicast addresses.
+func MeasureBlocks(count, zones int, seed uint64) (Blocks, *locate.Table, error) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	changes := blocks24(r, count, zones)
+	before := liveHeap()
+	begin := processTime()
+	table, err := locate.NewTable(changes)
+	if err != nil {
+		return Blocks{}, nil, err
+	}
+	b := Blocks{Count: count, Build: processTime() - begin}
+	b.Heap = liveHeap() - before
+	runtime.KeepAlive(changes)
+	if b.Delta, err = timeDelta(r, table, changes, zones); err != nil {
+		return Blocks{}, nil, err
+	}
+	b.Lookup = timeLookups(r, table)
+	return b, table, nil
+}
+
+// blocks24 returns distinct /24 blocks.
+func blocks24(r *rand.Rand, count, zones int) []locate.Change {
+	const first, last = 1 << 16, 224 << 16 // in /24 blocks
+	step := (last - first) / count
+	changes := make([]locate.Change, count)
+	for i := range changes {
+		n := uint32(first + i*step + r.IntN(step))
+		addr := netip.AddrFrom4([4]byte{byte(n >> 16), byte(n >> 8), byte(n), 0})
+		changes[i] = locate.Change{Prefix: netip.PrefixFrom(addr, 24), Zone: zoneName(r.IntN(zones))}
+	}
+	return changes
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+func timeDelta(r *rand.Rand, table *locate.Table, known []locate.Change, zones int) (time.Duration, error) {
+	delta := make([]locate.Change, deltaBlocks)
+	for i := range delta {
+		delta[i] = locate.Change{Prefix: known[r.IntN(len(known))].Prefix, Zone: zoneName(r.IntN(zones))}
+	}
+	begin := processTime()
+	_, err := table.Apply(delta)
+	return processTime() - begin, err
+}
+
+func timeLookups(r *rand.Rand, table *locate.Table) time.Duration {
+	addrs := make([]netip.Addr, 1<<16)
+	for i := range addrs {
+		n := r.Uint32()
+		addrs[i] = netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	begin := threadTime()
+	for i := range blockLookups {
+		table.Zone(addrs[i%len(addrs)])
+	}
+	return (threadTime() - begin) / blockLookups
+}
--- a/internal/lab/capacity/report.go
+++ b/internal/lab/capacity/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Targets of one instance for control.
@@ -95,3 +96,54 @@
 	}
 	return fmt.Sprintf("%.2f", r)
 }
+
+// SpreadTable prints how fast configurations spread.
+func SpreadTable(all []Spreading) string {
+	var b strings.Builder
+	b.WriteString("| Members | Case | Message B | Ticks | Time | Without it | Worst 5 s of one: CPU ms | B |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		s := &all[i]
+		fmt.Fprintf(&b, "| %d | %s | %d | %d | %v | %d | %.0f | %d |\n", s.Members, s.Case, s.Bytes, s.Ticks, s.Time,
+			s.Missing, milliseconds(s.Worst.CPU), s.Worst.Bytes)
+	}
+	return b.String()
+}
+
+// BurstTable prints what failures cost.
+func BurstTable(all []Burst) string {
+	var b strings.Builder
+	b.WriteString("| Members | Failure | Worst 5 s of one: CPU ms | B | Pools with an owner and all slots | Alive | Fewest known |\n")
+	b.WriteString("|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		r := &all[i]
+		fmt.Fprintf(&b, "| %d | %s | %.0f | %d | %d of %d | %d | %d |\n", r.Members, r.Case,
+			milliseconds(r.Worst.CPU), r.Worst.Bytes, r.Owned, r.Pools, r.Alive, r.Known)
+	}
+	return b.String()
+}
+
+// PlatformTable prints the calls to the platform.
+func PlatformTable(all []PlatformLoad) string {
+	var b strings.Builder
+	b.WriteString("| Zones | Watchers | Waiting watches | New watches/s | Reads/s | Lists/s | While down, calls/s | Back, most calls in 1 s |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|\n")
+	for i := range all {
+		l := &all[i]
+		fmt.Fprintf(&b, "| %d | %d | %d | %.1f | %.1f | %.1f | %.0f | %.0f |\n", l.Zones, l.Watchers, l.Watchers,
+			l.Watches, l.Reads, l.Lists, l.Down, l.Back)
+	}
+	return b.String()
+}
+
+// BlockTable prints what blocks and look-ups cost.
+func BlockTable(blocks *Blocks, lookups *Lookups) string {
+	var b strings.Builder
+	b.WriteString("| Blocks | Build | Heap MB | Delta of 1,000 blocks | Look-up in the table | Look-ups/s of a core over HTTP | of them measured |\n")
+	b.WriteString("|---|---|---|---|---|---|---|\n")
+	fmt.Fprintf(&b, "| %d | %v | %.1f | %v | %v | %.0f | %d |\n", blocks.Count, blocks.Build.Round(time.Millisecond),
+		float64(blocks.Heap)/1e6, blocks.Delta.Round(time.Microsecond), blocks.Lookup, lookups.PerCore(), lookups.Count)
+	return b.String()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
