Take conflict marks out of the Makefile

Cause: a merge left them, and make stopped at line 38. Change: both targets stand. Nothing else was tried. Measured: make format-check runs again.

--- a/Makefile
+++ b/Makefile
@@ -35,14 +35,12 @@
 promises: build
 	bin/lab promises --firm $(FIRM) $(if $(QUICK),--quick)
 
-<<<<<<< HEAD
 # The recorded traces against real processes, beside a plain proxy and an ideal
 # queue. QUICK=1 replays a choice of them within five minutes. The results go to
 # out/measure; "bin/lab report" writes docs/MEASURES.md from the last ones.
 measure: build
 	bin/lab measure $(if $(QUICK),--quick)
-=======
+
 # What an instance costs as the declared fleet grows, up to 2,400 instances.
 capacity: build
 	bin/lab capacity
->>>>>>> capacity
