--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { links.Close() })
+	w.t.Cleanup(func() { links.Close() }) //nolint:errcheck // the test is over
 	ctx, cancel := context.WithCancel(context.Background())
 	var zones sync.WaitGroup
 	w.t.Cleanup(func() {
@@ -282,12 +282,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { conn.Close() })
+		t.Cleanup(func() { conn.Close() }) //nolint:errcheck // the test is over
 		return
 	}
 	ln, err := net.Listen(network, address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
+	t.Cleanup(func() { ln.Close() }) //nolint:errcheck // the test is over
 }
