--- a/internal/api/operators_test.go
+++ b/internal/api/operators_test.go
@@ -1,6 +1,7 @@
 package api_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -86,6 +87,7 @@
 	cfg := b.config.Load()
 	preset := cfg.Presets[cfg.InForce]
 	pool := work.PoolID{Service: "status", Zone: "east-b"}
+	lonely := work.PoolID{Service: "status", Zone: "west-a"}
 	return &control.Snapshot{
 		At: time.Now(), Self: "e1", Zone: "east-a", Region: "east", State: control.Serving,
 		Config: cfg, Preset: &preset,
@@ -93,7 +95,10 @@
 			{Name: "e1", Zone: "east-a", Region: "east", Alive: true, State: control.Serving, ConfigVersion: cfg.Version},
 			{Name: "e3", Zone: "east-b", Region: "east"},
 		},
-		Pools: map[work.PoolID]*control.PoolView{pool: {ID: pool, Region: "east", Owners: []control.PoolOwner{{Instance: "e1", Slots: 1}}}},
+		Pools: map[work.PoolID]*control.PoolView{
+			pool:   {ID: pool, Region: "east", Owners: []control.PoolOwner{{Instance: "e1", Slots: 1}}},
+			lonely: {ID: lonely, Region: "west"},
+		},
 		Owned: map[work.PoolID]control.Grant{pool: {BaseUntil: time.Now().Add(time.Hour), Adopted: true}},
 	}
 }
@@ -328,6 +333,7 @@
 	b.Expect(status.Explain).To(gomega.ContainElements(
 		gomega.ContainSubstring("e3 in east-b does not answer"),
 		gomega.ContainSubstring("status@east-b is adopted"),
+		gomega.ContainSubstring("zone west-a: no owner for the pools of status"),
 		"upstream s1 is suspect",
 	))
 	status, err = c.Status(t.Context(), false)
@@ -373,6 +379,27 @@
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+func TestPanicOfACommandIsToldAndLogged(t *testing.T) {
+	b := newOperatorsBench(t, func(_ *operatorsBench, o *api.OperatorsOptions) {
+		o.Explain = func() []string { panic("a defect") }
+	})
+	c := b.client(operatorToken)
+	_, err := c.Status(t.Context(), true)
+	b.expectCode(err, http.StatusInternalServerError, wire.CodeInternal)
+	b.Expect(b.events.Count(event.HandlerPanic)).To(gomega.BeEquivalentTo(1))
+	_, err = c.Status(t.Context(), false)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func TestOversizedChangeIsRefused(t *testing.T) {
+	b := newOperatorsBench(t, nil)
+	large := append([]byte(peakPreset), bytes.Repeat([]byte("# large\n"), 200_000)...)
+	_, err := b.client(operatorToken).Apply(t.Context(), operation("op"), "peak", large)
+	b.Expect(err).To(gomega.HaveOccurred())
+	b.Expect(b.config.Load().Presets).NotTo(gomega.HaveKey("peak"))
+	b.Expect(b.events.Count(event.OperatorCommand)).To(gomega.BeZero())
+}
+
 func TestOnlyHTTPSIsSpoken(t *testing.T) {
 	b := newOperatorsBench(t, nil)
 	got := exchange(t, b.address, "GET /v1/status HTTP/1.1", "Authorization: Bearer "+operatorToken)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -48,6 +48,7 @@
 	policy map[string]settings.ServicePolicy // by service
 
 	members  []member
+	outside  []outsideZone // by zone
 	pools    []ownedPool
 	wards    []ward
 	unclean  map[Identity]bool
@@ -83,7 +84,7 @@
 	self := ix.byName[p.Self]
 	c := &Core{
 		ix:       ix,
-		timing:   p.Timing,
+		timing:   scaledTiming(p.Timing, ix),
 		self:     self,
 		zone:     ix.instances[self].zone,
 		identity: Identity{Instance: p.Self, Incarnation: p.Incarnation},
@@ -94,6 +95,7 @@
 		load:     map[int]PoolStatus{},
 		leaving:  leavingLists{},
 		members:  newMembers(ix, p.Start),
+		outside:  newOutside(ix, p.Start),
 	}
 	c.machine = newInstanceMachine(&c.state)
 	c.spread = newSpread(ix)
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -42,11 +42,13 @@
 		}
 	}
 	var last *work.Response
+	var avoid *row
 	for attempt := 1; ; attempt++ {
-		s, refusal := p.admit(ctx, req)
+		s, refusal := p.admit(ctx, req, avoid)
 		if refusal != nil {
 			return worse(last, refusal)
 		}
+		avoid = s.row
 		resp := p.run(ctx, s, req, body)
 		last = worse(last, resp)
 		if resp.Outcome == work.Run {
@@ -122,8 +124,8 @@
 // begin checks the right to dispatch a last time and bounds the attempt. It
 // releases the slot when it refuses.
 func (p *pool) begin(ctx context.Context, s *slot, req *work.Request) (*attempt, *work.Response) {
-	may := p.owner.permit(p)
-	if refusal := p.recheck(may, s.row); refusal != nil {
+	may, refusal := p.recheck(s.row)
+	if refusal != nil {
 		s.release(ending{})
 		return nil, refusal
 	}
@@ -137,7 +139,6 @@
 		a.deadline = req.Deadline
 	}
 	a.ctx, a.cancel = context.WithDeadline(ctx, a.deadline)
-	p.count(may)
 	return a, nil
 }
 
@@ -155,29 +156,23 @@
 }
 
 // recheck returns a refusal when the right to dispatch was lost since the slot
-// was given, such as by a pause of the process.
-func (p *pool) recheck(may permit, r *row) *work.Response {
+// was given, such as by a pause of the process. Otherwise it counts a dispatch.
+func (p *pool) recheck(r *row) (permit, *work.Response) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	may := p.owner.permit(p)
 	switch {
 	case !may.owned:
-		return work.Refuse(work.ReasonNotOwner, 0)
+		return may, work.Refuse(work.ReasonNotOwner, 0)
 	case !may.fresh:
-		return work.Refuse(work.ReasonNotReady, 0)
+		return may, work.Refuse(work.ReasonNotReady, 0)
 	case r.allowed(may) == 0:
-		return work.Refuse(work.ReasonNoUpstream, 0)
-	default:
-		return nil
+		return may, work.Refuse(work.ReasonNoUpstream, 0)
 	}
-}
-
-// count notes a dispatch for the budgets.
-func (p *pool) count(may permit) {
 	p.owner.stats.Dispatches.Add(1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.retries.earn(may.policy.RetryBudget)
 	p.hedges.earn(may.policy.HedgeBudget)
+	return may, nil
 }
 
 // conclude releases the slot of an attempt and applies what it shows of the
@@ -185,7 +180,7 @@
 func (p *pool) conclude(s *slot, result upstream.Result) {
 	resp := result.Response
 	p.mu.Lock()
-	if trigger := symptom(resp); trigger != "" {
+	if trigger := symptom(resp, s); trigger != "" {
 		s.row.fire(trigger)
 	}
 	if resp.Reason == work.ReasonUpstreamShed {
@@ -199,13 +194,15 @@
 	})
 }
 
-// symptom returns what a failed attempt tells of the upstream, or "".
-func symptom(resp *work.Response) stateTrigger {
+// symptom returns what a failed attempt tells of the upstream, or "". One that
+// answered others meanwhile is not silent.
+func symptom(resp *work.Response, s *slot) stateTrigger {
 	switch {
 	case resp.Reason == work.ReasonUpstreamConnect:
 		return triggerRefused
-	case resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamTimeout,
-		resp.Outcome == work.Unknown && resp.Reason == work.ReasonUpstreamBroken:
+	case resp.Outcome != work.Unknown || s.row.lastAnswer.After(s.start):
+		return ""
+	case resp.Reason == work.ReasonUpstreamTimeout, resp.Reason == work.ReasonUpstreamBroken:
 		return triggerSilent
 	default:
 		return ""
