--- a/internal/lab/promises/runner.go
+++ b/internal/lab/promises/runner.go
@@ -165,9 +165,16 @@
 	}
 }
 
-// printCauses says why attempts brought no answer.
+// maxCauses is how many causes are printed of a case that held.
+const maxCauses = 4
+
+// printCauses says why attempts brought no answer, all of it after a finding.
 func (r *runner) printCauses(report *Report) {
-	for _, cause := range report.Causes {
+	for i, cause := range report.Causes {
+		if i == maxCauses && report.Held() {
+			fmt.Fprintf(r.Out, "         and %d more causes\n", len(report.Causes)-i)
+			return
+		}
 		fmt.Fprintf(r.Out, "         attempts %s\n", cause)
 	}
 }
