Store no presets with the plain proxy

Cause: a trial stores the presets of the firm through an operator, and the plain proxy has no listener for operators, so that its trial did not start. Change: they are stored for the system alone.

--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	t := &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}
-	if o.WithoutPlatform {
+	if o.WithoutPlatform || o.Baseline {
 		return t, nil
 	}
 	if err := t.ApplyPresets(ctx); err != nil {
