Plot latencies as dots on a logarithmic axis

Cause: bars on a linear axis hid everything below the largest value, and the last group and the legend ran out of the picture. Change: dots with a shape for each system, a logarithmic axis, room at the sides and above. Ruled out: bars on a logarithmic axis, whose foot has no place there.

--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -8,6 +8,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"sycamoreledge.example/internal/lab/measure"
 	"sycamoreledge.example/internal/lab/trace"
@@ -16,23 +17,32 @@
 
 // Sizes of the plots.
 const (
-	width    = 8 * vg.Inch
-	height   = 4 * vg.Inch
-	barWidth = 9 // points
+	width   = 8 * vg.Inch
+	height  = 4 * vg.Inch
+	padding = vg.Length(6)
+	radius  = vg.Length(4)
+	// offset and margin are parts of the distance of two labels.
+	offset = 0.18
+	margin = 0.7
+	// lowest is the lower end of the axis in ms, head the room above the
+	// highest value as a factor.
+	lowest = 10
+	head   = 4
 )
 
-// systems are drawn in this order, each in its colour.
+// systems are drawn in this order, each in its colour and shape.
 var systems = []struct {
 	name  measure.System
 	color color.Color
+	shape draw.GlyphDrawer
 }{
-	{measure.Baseline, color.RGBA{R: 190, G: 90, B: 60, A: 255}},
-	{measure.Steer, color.RGBA{R: 40, G: 90, B: 160, A: 255}},
-	{measure.Ideal, color.RGBA{R: 150, G: 150, B: 150, A: 255}},
+	{measure.Baseline, color.RGBA{R: 190, G: 90, B: 60, A: 255}, draw.TriangleGlyph{}},
+	{measure.Steer, color.RGBA{R: 40, G: 90, B: 160, A: 255}, draw.CircleGlyph{}},
+	{measure.Ideal, color.RGBA{R: 150, G: 150, B: 150, A: 255}, draw.BoxGlyph{}},
 }
 
-// bars is one plot: a group of bars for each label, a bar for each system.
-type bars struct {
+// dots is one plot: for each label a dot of each system, on a logarithmic axis.
+type dots struct {
 	title  string
 	labels []string
 	// value returns the latency at a label, 0 when there is none.
@@ -48,12 +58,12 @@
 }
 
 // lookups compares the 99th percentile of lookups in all phases.
-func lookups(r *measure.Result) bars {
+func lookups(r *measure.Result) dots {
 	type place struct{ trace, phase string }
 	var places []place
 	at := map[place]int{}
 	values := map[measure.System]map[int]time.Duration{}
-	b := bars{title: r.Firm + ": p99 of lookups"}
+	b := dots{title: r.Firm + ": p99 of lookups"}
 	for _, x := range r.Rows {
 		if x.Kind != work.Lookup {
 			continue
@@ -74,10 +84,10 @@
 }
 
 // ordinary compares the latency of an ordinary day by kind and quantile.
-func ordinary(r *measure.Result) bars {
+func ordinary(r *measure.Result) dots {
 	kinds := []work.Kind{work.Lookup, work.Order, work.Upload}
 	quantiles := []string{"p50", "p99", "p99.9"}
-	b := bars{title: r.Firm + ": latency of an ordinary day"}
+	b := dots{title: r.Firm + ": latency of an ordinary day"}
 	for _, k := range kinds {
 		for _, q := range quantiles {
 			b.labels = append(b.labels, string(k)+"\n"+q)
@@ -96,28 +106,42 @@
 }
 
 // save draws the plot into a PNG file.
-func (b bars) save(path string) error {
+func (b dots) save(path string) error {
 	p := plot.New()
 	p.Title.Text = b.title
+	p.Title.Padding = padding
 	p.Y.Label.Text = "ms"
-	p.Y.Min = 0
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	for i, s := range systems {
-		values := make(plotter.Values, len(b.labels))
-		for label := range b.labels {
-			values[label] = float64(b.value(s.name, label)) / float64(time.Millisecond)
+		points := b.points(s.name, float64(i-1)*offset)
+		if len(points) == 0 {
+			continue
 		}
-		chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		scatter, err := plotter.NewScatter(points)
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		chart.LineStyle.Width = 0
-		chart.Color = s.color
-		chart.Offset = vg.Points(barWidth * float64(i-1))
-		p.Add(chart)
-		p.Legend.Add(string(s.name), chart)
+		scatter.GlyphStyle = draw.GlyphStyle{Color: s.color, Radius: radius, Shape: s.shape}
+		p.Add(scatter)
+		p.Legend.Add(string(s.name), scatter)
 	}
 	p.NominalX(b.labels...)
+	p.X.Min, p.X.Max = -margin, float64(len(b.labels)-1)+margin
+	// Room for the legend above the highest dot.
+	p.Y.Min, p.Y.Max = lowest, max(p.Y.Max, lowest)*head
 	return Error.Wrap(p.Save(width, height, path))
 }
+
+// points are the latencies of a system in milliseconds, moved sideways.
+func (b dots) points(s measure.System, by float64) plotter.XYs {
+	var all plotter.XYs
+	for label := range b.labels {
+		if v := b.value(s, label); v > 0 {
+			all = append(all, plotter.XY{X: float64(label) + by, Y: float64(v) / float64(time.Millisecond)})
+		}
+	}
+	return all
+}
