--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -132,7 +132,7 @@
 	defer x.finish()
 	req, refusal := x.request(start)
 	if refusal != nil {
-		x.respond(refusal)
+		s.observe(&work.Request{}, x.respond(refusal), time.Since(start))
 		return
 	}
 	defer s.active.Add(-1)
--- a/internal/api/callers_test.go
+++ b/internal/api/callers_test.go
@@ -112,126 +112,46 @@
 	}
 }
 
-func TestBodiesStreamWhileTheyArrive(t *testing.T) {
-	g := expect(t)
-	first, rest := make(chan string, 1), make(chan string, 1)
-	_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
-		buf := make([]byte, 5)
-		io.ReadFull(req.Body, buf) //nolint:errcheck // checked by its content
-		first <- string(buf)
-		all, _ := io.ReadAll(req.Body)
-		rest <- string(all)
-		return ranText("ok")
-	}, nil)
-	c := dial(t, address)
-	c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n\r\nfirst")
-	g.Expect(<-first).To(gomega.Equal("first"))
-	c.send(t, "rest")
-	g.Expect(<-rest).To(gomega.Equal("rest"))
-	g.Expect(c.receive("POST").status).To(gomega.Equal(200))
-}
-
-func TestCutUploadIsSeenAsCut(t *testing.T) {
-	heads := map[string]string{
-		"known length": "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 50000),
-		"chunked":      "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+func TestOutcomesAreLoggedAndCounted(t *testing.T) {
+	cases := []struct {
+		response *work.Response
+		event    event.ID
+	}{
+		{work.Refuse(work.ReasonNoUpstream, 0), event.NoUpstream},
+		{work.Refuse(work.ReasonNoOwner, 0), event.NoUpstream},
+		{work.Refuse(work.ReasonHeadroom, 0), event.HeadroomUsedUp},
+		{work.Refuse(work.ReasonShiftCap, 0), event.ShiftAtCap},
+		{work.Refuse(work.ReasonLinkCap, 0), event.LinkAtCap},
+		{work.Refuse(work.ReasonTableFull, 0), event.KeyTableFull},
+		{work.Uncertain(work.ReasonKeyConflict), event.KeyConflict},
+		{work.Uncertain(work.ReasonUpstreamBroken), event.UpstreamBroken},
 	}
-	for name, text := range heads {
-		t.Run(name, func(t *testing.T) {
+	for _, tc := range cases {
+		t.Run(string(tc.response.Reason), func(t *testing.T) {
 			g := expect(t)
-			errs := make(chan error, 1)
-			_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
-				_, err := io.Copy(io.Discard, req.Body)
-				errs <- err
-				return work.Refuse(work.ReasonCanceled, 0)
-			}, nil)
-			c := dial(t, address)
-			c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\n"+text)
-			g.Expect(c.Close()).To(gomega.Succeed())
-			g.Expect(<-errs).To(gomega.HaveOccurred())
+			events, counted := event.Discard(), make(observed, 1)
+			_, address := start(t, func(context.Context, *work.Request) *work.Response { return tc.response },
+				func(o *api.CallersOptions) { o.Events, o.Observer = events, counted })
+			exchange(t, address, "GET /v1/services/status/x HTTP/1.1")
+			g.Expect(events.Count(tc.event)).To(gomega.BeEquivalentTo(1))
+			g.Expect(<-counted).To(gomega.Equal("status " + tc.response.Outcome.String() + " " + string(tc.response.Reason)))
 		})
 	}
 }
 
-func TestStalledUploadEndsWithItsDeadline(t *testing.T) {
-	g := expect(t)
-	errs := make(chan error, 1)
-	_, address := start(t, func(_ context.Context, req *work.Request) *work.Response {
-		_, err := io.Copy(io.Discard, req.Body)
-		errs <- err
-		return work.Refuse(work.ReasonDeadline, 0)
-	}, nil)
-	c := dial(t, address)
-	c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\nDeadline-Ms: 100\r\nContent-Length: 1000\r\n\r\nx")
-	var timeout net.Error
-	err := <-errs
-	g.Expect(errors.As(err, &timeout) && timeout.Timeout()).To(gomega.BeTrue(), "%v", err)
-}
+// observed is an Observer that hands over what it is told.
+type observed chan string
 
-func TestEarlyAnswerToALongUploadReleasesTheConnection(t *testing.T) {
-	heads := map[string]string{
-		"known length":  "Content-Length: 1000000000\r\n\r\n" + strings.Repeat("x", 200000),
-		"length of 100": "Content-Length: 100\r\n\r\nx",
-		"length of 99k": "Content-Length: 99000\r\n\r\nx",
-		"chunked":       "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
-		"continue":      "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n",
-	}
-	for name, text := range heads {
-		t.Run(name, func(t *testing.T) {
-			g := expect(t)
-			_, address := start(t, func(context.Context, *work.Request) *work.Response {
-				return work.Refuse(work.ReasonQueueFull, 0)
-			}, nil)
-			c := dial(t, address)
-			c.send(t, "POST /v1/services/scans/x HTTP/1.1\r\nHost: t\r\n"+text)
-			got := c.receive("POST")
-			g.Expect(got.err).NotTo(gomega.HaveOccurred())
-			g.Expect(got.status).To(gomega.Equal(429))
-			g.Expect(got.close).To(gomega.BeTrue())
-			g.Expect(c.closed()).To(gomega.BeTrue())
-		})
-	}
+func (o observed) RequestDone(service string, _ work.Kind, outcome work.Outcome, reason work.Reason, _ time.Duration) {
+	o <- service + " " + outcome.String() + " " + string(reason)
 }
 
-func TestRefusalOfASmallBodyKeepsTheConnection(t *testing.T) {
+func TestMalformedRequestsAreCounted(t *testing.T) {
 	g := expect(t)
-	_, address := start(t, func(context.Context, *work.Request) *work.Response {
-		return work.Refuse(work.ReasonQueueFull, 0)
-	}, nil)
-	c := dial(t, address)
-	for range 3 {
-		c.send(t, "POST /v1/services/orders/x HTTP/1.1\r\nHost: t\r\nContent-Length: 5\r\n\r\nhello")
-		got := c.receive("POST")
-		g.Expect(got.err).NotTo(gomega.HaveOccurred())
-		g.Expect(got.status).To(gomega.Equal(429))
-	}
-}
-
-func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
-	heads := map[string]string{
-		"without body": "\r\n",
-		"after a body": "Content-Length: 5\r\n\r\nhello",
-	}
-	for name, text := range heads {
-		t.Run(name, func(t *testing.T) {
-			g := expect(t)
-			arrived, ended := make(chan bool, 1), make(chan error, 1)
-			_, address := start(t, func(ctx context.Context, req *work.Request) *work.Response {
-				if req.Body != nil {
-					io.Copy(io.Discard, req.Body) //nolint:errcheck // whole in this test
-				}
-				arrived <- true
-				<-ctx.Done()
-				ended <- ctx.Err()
-				return work.Uncertain(work.ReasonCanceled)
-			}, nil)
-			c := dial(t, address)
-			c.send(t, "POST /v1/services/status/x HTTP/1.1\r\nHost: t\r\n"+text)
-			<-arrived
-			g.Expect(c.Close()).To(gomega.Succeed())
-			g.Expect(<-ended).To(gomega.MatchError(context.Canceled), "and not the deadline")
-		})
-	}
+	counted := make(observed, 1)
+	_, address := start(t, nil, func(o *api.CallersOptions) { o.Observer = counted })
+	exchange(t, address, "GET /v1/services/none/x HTTP/1.1")
+	g.Expect(<-counted).To(gomega.Equal(" not-run unknown_service"))
 }
 
 func TestPanicBreaksOneRequestOnly(t *testing.T) {
--- a/internal/api/exchange.go
+++ b/internal/api/exchange.go
@@ -150,6 +150,31 @@
 	return broken
 }
 
+// refusalEvents are the events that tell operators why callers get no answer of
+// an upstream.
+var refusalEvents = map[work.Reason]event.ID{
+	work.ReasonNoUpstream:  event.NoUpstream,
+	work.ReasonNoOwner:     event.NoUpstream,
+	work.ReasonHeadroom:    event.HeadroomUsedUp,
+	work.ReasonShiftCap:    event.ShiftAtCap,
+	work.ReasonLinkCap:     event.LinkAtCap,
+	work.ReasonTableFull:   event.KeyTableFull,
+	work.ReasonKeyConflict: event.KeyConflict,
+	work.ReasonKeyInvalid:  event.KeyForged,
+}
+
+// logOutcome writes the event that fits an outcome other than run.
+func (x *exchange) logOutcome(r *work.Response) {
+	service, _, _ := splitTarget(x.r.URL)
+	if r.Reason == work.ReasonUpstreamBroken {
+		x.server.opts.Events.Log(event.UpstreamBroken, "service", service, "request", x.id, "upstream", r.Upstream)
+		return
+	}
+	if id, ok := refusalEvents[r.Reason]; ok {
+		x.server.opts.Events.Log(id, "service", service, "request", x.id, "reason", r.Reason)
+	}
+}
+
 // runHeader sets the fields of an upstream's answer.
 func (x *exchange) runHeader(r *work.Response) {
 	h := r.Header.Clone()
@@ -190,6 +215,7 @@
 
 // respondInWords writes an outcome other than run.
 func (x *exchange) respondInWords(r *work.Response) {
+	x.logOutcome(r)
 	retry := retryAfter(r)
 	setRetryAfter(x.w.Header(), retry)
 	x.ownHeader(r)
