--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -33,6 +33,8 @@
 	WithoutPlatform bool
 	// Baseline runs the plain proxy in place of the entries.
 	Baseline bool
+	// Dilate stretches the time of the firm when above 0; see firm.Dilate.
+	Dilate float64
 	// KeyLifetime replaces the lifetime of issued keys when above 0.
 	KeyLifetime time.Duration
 }
@@ -56,6 +58,9 @@
 	if o.KeyLifetime > 0 {
 		f.Settings.Traffic.KeyLifetime = o.KeyLifetime
 	}
+	if o.Dilate > 0 {
+		f.Dilate(o.Dilate)
+	}
 	p, err := firm.Generate(o.Dir, f)
 	if err != nil {
 		return nil, err
@@ -116,8 +121,9 @@
 	Preset *settings.Preset
 	// Zones are those with callers; none means all.
 	Zones []string
-	// MaxDeadline shortens the deadlines when above 0.
-	MaxDeadline time.Duration
+	// MaxDeadline shortens the deadlines when above 0, and MaxOperation the
+	// time in which callers repeat an operation.
+	MaxDeadline, MaxOperation time.Duration
 	// Twice is the share of the operations sent through two entries at once.
 	Twice float64
 }
@@ -150,7 +156,7 @@
 			}
 		}
 		seed := t.Seed<<20 ^ t.loads<<8 ^ uint64(i)
-		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, Stats: l.Stats})
+		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, MaxOperation: o.MaxOperation, Stats: l.Stats})
 		l.callers = append(l.callers, c)
 		l.all.Go(func() { c.Run(ctx) })
 	}
