Do not wait for bodies that nobody reads

A POST to /v1/keys with a stalled body held its connection for ever, and got no answer: the server reads the rest of a body before it answers. The test failed before for /v1/keys and for paths that are not served; requests of services were bounded already.

go test -race ./internal/api passes.

--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -99,6 +99,10 @@
 		s.service(w, r)
 		return
 	}
+	if r.ContentLength != 0 {
+		// The server would wait for the rest of the body, which nobody reads.
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // not with test recorders
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/internal/api/uploads_test.go
+++ b/internal/api/uploads_test.go
@@ -134,3 +134,17 @@
 		})
 	}
 }
+
+func TestStalledBodyOfAnUnservedRequestDoesNotHoldTheConnection(t *testing.T) {
+	for _, target := range []string{"/v1/keys?service=orders", "/v1/services/none/x", "/nothing"} {
+		t.Run(target, func(t *testing.T) {
+			g := expect(t)
+			_, address := start(t, nil, nil)
+			c := dial(t, address)
+			c.send(t, "POST "+target+" HTTP/1.1\r\nHost: t\r\nContent-Length: 100\r\n\r\nx")
+			got := c.receive("POST")
+			g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			g.Expect(c.closed()).To(gomega.BeTrue())
+		})
+	}
+}
