Keep topology scans off the path of a request

Cause: the router looked up zones and regions of instances by scanning the topology, which grows with the fleet, and formatted its explanation. Change: maps built once, plain string writes.

--- a/internal/traffic/router.go
+++ b/internal/traffic/router.go
@@ -40,6 +40,7 @@
 	zone     string
 	pools    Pools
 	peers    peer.Transport
+	zones    map[string]string // of the declared instances
 	services map[string]*service
 	shifts   *shifts
 	inbound  *inbound
@@ -57,11 +58,17 @@
 		zone:     zone,
 		pools:    opt.Pools,
 		peers:    opt.Peers,
+		zones:    make(map[string]string),
 		services: make(map[string]*service),
 		liveness: newLiveness(),
 		shifts:   newShifts(opt.Topology, opt.Topology.RegionOf(zone)),
 		inbound:  newInbound(opt.Topology, opt.Topology.RegionOf(zone)),
 	}
+	for _, z := range opt.Topology.Zones() {
+		for i := range z.Instances {
+			r.zones[z.Instances[i].Name] = z.Name
+		}
+	}
 	for i := range opt.Topology.Services {
 		declared := &opt.Topology.Services[i]
 		r.services[declared.Name] = newService(declared, opt.Topology, zone)
@@ -107,7 +114,7 @@
 // ServePool runs a request of a peer on a pool that this instance owns. The
 // sender is the authenticated peer.
 func (r *Router) ServePool(ctx context.Context, req *work.Request) *work.Response {
-	zone := r.topology.ZoneOf(req.Sender)
+	zone := r.zones[req.Sender]
 	if zone == "" {
 		return work.Refuse(work.ReasonBadRequest, 0)
 	}
@@ -121,7 +128,7 @@
 	own := *req
 	own.Kind = svc.kind
 	own.Origin = zone
-	if refusal := r.inbound.admit(r.snapshot(), &own, r.topology.RegionOf(zone)); refusal != nil {
+	if refusal := r.inbound.admit(r.snapshot(), &own); refusal != nil {
 		return refusal
 	}
 	return r.pools.Serve(ctx, &own)
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -23,6 +23,7 @@
 // route is a pool as seen from this instance.
 type route struct {
 	pool   work.PoolID
+	name   string // of the pool
 	region string
 	tier   tier
 	// roundTrip is the declared latency to the pool's region and back; 0 within
@@ -78,6 +79,7 @@
 			pool:   work.PoolID{Service: declared.Name, Zone: pool.Zone},
 			region: topology.RegionOf(pool.Zone),
 		}
+		r.name = r.pool.String()
 		switch {
 		case pool.Zone == zone:
 			r.tier = ownZone
--- a/internal/traffic/shift.go
+++ b/internal/traffic/shift.go
@@ -51,19 +51,32 @@
 // inbound keeps each sender of another region within its share of the cap, in
 // case that it has another preset or is faulty.
 type inbound struct {
-	topology *settings.Topology
 	region   string
+	regionOf map[string]string // of the zones
+	declared map[string]int    // instances of the regions
 
 	mu  sync.Mutex
 	all map[shiftKey]*limit.Bucket // place is the sending instance
 }
 
 func newInbound(topology *settings.Topology, region string) *inbound {
-	return &inbound{topology: topology, region: region, all: make(map[shiftKey]*limit.Bucket)}
+	in := &inbound{
+		region:   region,
+		regionOf: make(map[string]string),
+		declared: make(map[string]int),
+		all:      make(map[shiftKey]*limit.Bucket),
+	}
+	for r, z := range topology.Zones() {
+		in.regionOf[z.Name] = r.Name
+		in.declared[r.Name] += len(z.Instances)
+	}
+	return in
 }
 
-// admit returns the refusal of a request beyond its sender's share, or nil.
-func (in *inbound) admit(snap *control.Snapshot, req *work.Request, from string) *work.Response {
+// admit returns the refusal of a request beyond its sender's share, or nil. Its
+// origin is the sender's zone.
+func (in *inbound) admit(snap *control.Snapshot, req *work.Request) *work.Response {
+	from := in.regionOf[req.Origin]
 	if from == in.region {
 		return nil
 	}
@@ -71,7 +84,7 @@
 	if policy == nil {
 		return work.Refuse(work.ReasonUnknownService, 0)
 	}
-	rate := policy.ShiftRate / float64(max(in.topology.InstancesOfRegion(from), 1))
+	rate := policy.ShiftRate / float64(max(in.declared[from], 1))
 	if rate <= 0 {
 		return work.Refuse(work.ReasonShiftCap, time.Second)
 	}
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -251,9 +250,13 @@
 // owners returns the owners of a pool, this instance first, then the one in the
 // pool's own zone.
 func (t *trip) owners(r *route) []string {
+	all := t.snap.Pools[r.pool].Owners
+	if len(all) == 1 {
+		return []string{all[0].Instance}
+	}
 	var first, rest []string
-	for _, o := range t.snap.Pools[r.pool].Owners {
-		if o.Instance == t.router.self || t.router.topology.ZoneOf(o.Instance) == r.pool.Zone {
+	for _, o := range all {
+		if o.Instance == t.router.self || t.router.zones[o.Instance] == r.pool.Zone {
 			first = append(first, o.Instance)
 		} else {
 			rest = append(rest, o.Instance)
@@ -340,11 +343,13 @@
 	if t.explain.Len() > 0 {
 		t.explain.WriteString("; ")
 	}
-	fmt.Fprintf(&t.explain, "%s", r.pool)
+	t.explain.WriteString(r.name)
 	if owner != "" {
-		fmt.Fprintf(&t.explain, " via %s", owner)
+		t.explain.WriteString(" via ")
+		t.explain.WriteString(owner)
 	}
-	fmt.Fprintf(&t.explain, ": %s", what)
+	t.explain.WriteString(": ")
+	t.explain.WriteString(what)
 }
 
 func verdict(resp *work.Response) string {
