Tell the configuration versions of zones, not of each instance

Cause: since only the region is told of a version, an operator who waits until all instances work by a change would wait for the refresh of far rows: up to half a minute with 144 instances, and 24 minutes with 2,400.

Change: a digest to another zone carries the lowest version of the sender's live instances.

--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -36,6 +36,7 @@
 		return
 	}
 	c.noteSilentZones()
+	c.spread.versions = c.takeVersions()
 	c.tellMates(speakers)
 	c.tellZones()
 	c.spread.cursor++
@@ -57,6 +58,7 @@
 // reportToSpeakers sends the own row, and what came from other zones.
 func (c *Core) reportToSpeakers(speakers []int) {
 	c.spread.heard = c.takeHeard()
+	c.spread.versions = nil
 	for _, i := range speakers {
 		c.sendRows(i, func(row int) bool { return row == c.self || c.learnedOutside(row) })
 	}
@@ -148,8 +150,12 @@
 		ConfigVersion: c.config.Version,
 		Resend:        c.wantsResend(to),
 		Heard:         c.heardFor(to),
+		Versions:      c.versionsFor(to),
 	}
-	if len(rows) == 0 && (len(d.Silent) > 0 || len(d.Heard) > 0 || c.signOfLife(to)) {
+	if c.signOfLife(to) {
+		d.Lowest = c.lowestVersion()
+	}
+	if len(rows) == 0 && (d.hasNews() || c.signOfLife(to)) {
 		c.send(to, Message{Digest: &d})
 	}
 	for chunk := range slices.Chunk(rows, rowsPerMessage) {
@@ -159,6 +165,11 @@
 	}
 }
 
+// hasNews reports whether a digest without rows tells anything of zones.
+func (d *Digest) hasNews() bool {
+	return len(d.Silent) > 0 || len(d.Heard) > 0 || len(d.Versions) > 0
+}
+
 // changeFor returns the clock of the newest change of a row that the target is
 // to be told.
 func (c *Core) changeFor(to, row int) uint64 {
--- a/internal/control/learn.go
+++ b/internal/control/learn.go
@@ -8,6 +8,7 @@
 
 func (c *Core) onDigest(from int, d *Digest) {
 	c.noteZone(from, d)
+	c.noteVersions(from, d)
 	for i := range d.Rows {
 		c.learnRow(from, &d.Rows[i])
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -205,6 +205,7 @@
 	if h.EchoOf == c.identity.Incarnation {
 		c.noteEcho(m, h)
 	}
+	m.configVersion = h.ConfigVersion
 	c.compareConfig(from, h.ConfigVersion)
 }
 
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -70,6 +70,18 @@
 	// Heard lists the zones of which the sender, no speaker, has got a digest
 	// that was meant for the speakers of its zone.
 	Heard []int `cbor:"5,keyasint,omitempty"`
+	// Lowest is the lowest configuration version in the sender's zone, for
+	// other zones, and Versions passes on those of other zones within one.
+	Lowest   int64         `cbor:"6,keyasint,omitempty"`
+	Versions []ZoneVersion `cbor:"7,keyasint,omitempty"`
+}
+
+// ZoneVersion is the lowest configuration version of the live instances of a
+// zone, which is given by its index in declared order.
+type ZoneVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Zone    int
+	Version int64
 }
 
 // DigestRow is what is known of one instance. Of two rows about the same
--- a/internal/control/silence.go
+++ b/internal/control/silence.go
@@ -20,6 +20,10 @@
 	silentUntil time.Time
 	// resend is set until the zone has been asked for its rows.
 	resend bool
+	// version is the lowest configuration version of the zone, versionNews is
+	// set until the members of the own zone have been told of it.
+	version     int64
+	versionNews bool
 	// news is set until the speakers have been told that the zone was heard.
 	news bool
 }
@@ -28,9 +32,9 @@
 	// roundsToSilence is how many rounds over all zones another zone may be
 	// silent before its instances no longer count as alive.
 	roundsToSilence = 6
-	// silentEvery is the number of digest intervals after which the members of
-	// the zone are told again which zones are silent.
-	silentEvery = 4
+	// relayEvery is the number of digest intervals after which the members of
+	// the zone are told again what is heard of other zones.
+	relayEvery = 4
 )
 
 // slowRows reports whether rows are refreshed so seldom that zones, and not
@@ -59,7 +63,11 @@
 
 // mateSilence is how long the members of a zone hold another zone for silent
 // after a speaker said so.
-func mateSilence(digest time.Duration) time.Duration { return 3 * silentEvery * digest }
+func mateSilence(digest time.Duration) time.Duration { return 3 * relayEvery * digest }
+
+// relayTurn reports whether the members of the zone are told of other zones in
+// this interval.
+func (c *Core) relayTurn() bool { return c.spread.speaking && c.spread.cursor%relayEvery == 0 }
 
 // noteZone takes what a digest says of zones.
 func (c *Core) noteZone(from int, d *Digest) {
@@ -138,7 +146,7 @@
 // silentFor returns the silent zones that a target is told: members of the own
 // zone, which do not hear other zones themselves.
 func (c *Core) silentFor(to int) []int {
-	if !c.spread.speaking || c.ix.instances[to].zone != c.zone || c.spread.cursor%silentEvery != 0 {
+	if !c.spread.speaking || c.ix.instances[to].zone != c.zone || !c.relayTurn() {
 		return nil
 	}
 	var zones []int
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -50,6 +50,9 @@
 	sentTo map[int]uint64
 	// heard lists the zones that the speakers of the own zone are told of.
 	heard []int
+	// versions lists the versions of other zones that the members of the own
+	// zone are told.
+	versions []ZoneVersion
 	// speaking is set while this instance speaks for its zone.
 	speaking bool
 	// urgent is the clock of the newest change of a row of the own zone that
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -44,7 +44,7 @@
 			Alive:         c.alive(i),
 			State:         m.state,
 			Incarnation:   m.incarnation,
-			ConfigVersion: m.configVersion,
+			ConfigVersion: c.versionOf(i),
 		}
 		pools := m.pools
 		if i == c.self {
