Tell a caller's own timeout from an answer that was cut

The saved operation shows that the caller itself gave up, 5.5 s after a request to an entry that was not the stopping one, on a machine with load 100.

Tests of internal/lab/caller and internal/lab/promises pass.

--- a/internal/lab/caller/operation.go
+++ b/internal/lab/caller/operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sycamoreledge.example/internal/lab/answer"
@@ -41,6 +42,8 @@
 	Cut int `json:"cut,omitempty"`
 	// Unreached counts entries that took no connection.
 	Unreached int `json:"unreached,omitempty"`
+	// TimedOut counts attempts whose caller gave up after the deadline.
+	TimedOut int `json:"timed_out,omitempty"`
 	// Unlabelled counts answers without an outcome.
 	Unlabelled int `json:"unlabelled,omitempty"`
 	// Late is set when the answer came after the deadline of its attempt.
@@ -59,8 +62,11 @@
 
 // Reasons of failures that a caller sees itself.
 const (
-	reasonUnreached  work.Reason = "no connection"
-	reasonBroken     work.Reason = "broken off"
+	reasonUnreached work.Reason = "no connection"
+	reasonBroken    work.Reason = "broken off"
+	// ReasonTimeout is that of an entry that was silent until after the
+	// deadline, so that the caller gave up.
+	ReasonTimeout    work.Reason = "no answer in time"
 	reasonUnlabelled work.Reason = "no outcome"
 )
 
@@ -71,6 +77,8 @@
 	case !r.Sent:
 		f.Reason = reasonUnreached
 	case r.Told:
+	case errors.Is(r.Err, context.DeadlineExceeded):
+		f.Reason = ReasonTimeout
 	case r.Status == 0 || r.Err != nil:
 		f.Reason = reasonBroken
 	default:
@@ -181,6 +189,8 @@
 	switch f.Reason {
 	case reasonBroken:
 		op.Cut++
+	case ReasonTimeout:
+		op.TimedOut++
 	case reasonUnlabelled:
 		op.Unlabelled++
 	}
--- a/internal/lab/caller/stats.go
+++ b/internal/lab/caller/stats.go
@@ -36,6 +36,8 @@
 	// Unlabelled counts answers without an outcome.
 	Unlabelled int64 `json:"unlabelled"`
 	Late       int64 `json:"late"`
+	// TimedOut counts attempts whose caller gave up after the deadline.
+	TimedOut int64 `json:"timed_out"`
 	// Skipped counts operations not started for want of room, and NoKey those
 	// for want of a key.
 	Skipped int64 `json:"skipped"`
@@ -136,6 +138,7 @@
 		t.Cut += int64(op.Cut)
 		t.Unreached += int64(op.Unreached)
 		t.Unlabelled += int64(op.Unlabelled)
+		t.TimedOut += int64(op.TimedOut)
 		if op.Bad != "" {
 			t.Bad++
 		}
--- a/internal/lab/promises/env.go
+++ b/internal/lab/promises/env.go
@@ -146,6 +146,7 @@
 		sum.Unknown += t.Unknown
 		sum.Refusals += t.Refusals
 		sum.Cut += t.Cut
+		sum.TimedOut += t.TimedOut
 		sum.Unreached += t.Unreached
 		sum.Late += t.Late
 		sum.NoKey += t.NoKey + t.Skipped
@@ -154,8 +155,8 @@
 			e.report.Causes = append(e.report.Causes, t.Service+" "+cause)
 		}
 	}
-	e.report.Counts = fmt.Sprintf("sent %d run %d not-run %d unknown %d (refusals %d cut %d unreached %d late %d not started %d), %s",
-		sum.Sent, sum.Run, sum.NotRun, sum.Unknown, sum.Refusals, sum.Cut, sum.Unreached, sum.Late, sum.NoKey, strings.Join(tails, ", "))
+	e.report.Counts = fmt.Sprintf("sent %d run %d not-run %d unknown %d (refusals %d cut %d timed out %d unreached %d late %d not started %d), %s",
+		sum.Sent, sum.Run, sum.NotRun, sum.Unknown, sum.Refusals, sum.Cut, sum.TimedOut, sum.Unreached, sum.Late, sum.NoKey, strings.Join(tails, ", "))
 }
 
 // pause waits for d or until ctx ends.
