--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,7 +126,7 @@
 	e.platform = &platformCalls{
 		client: platform.NewHTTPClient(e.mapped(s.Platform.Address), s.Platform.Timeout),
 		events: e.events,
-	count: func(call, result string, elapsed time.Duration) {
+		count: func(call, result string, elapsed time.Duration) {
 			e.metrics.PlatformCall(call, result, elapsed)
 		},
 	}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"sycamoreledge.example/internal/control"
