Keep the hedge budget for the slowest lookups

Cause: with a quantile of 0.95 and a budget of 3 % the budget was spent on requests that were merely late (356 hedges of at most 360, 117 won), so that some stragglers found none left. Change: a hedge starts at the preset's quantile or at the one beyond which two thirds of the budget suffice, whichever is later.

It logs one ideal queue for each region beside the global one, which has no travel time.

--- a/internal/traffic/owner/hedge.go
+++ b/internal/traffic/owner/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamoreledge.example/internal/replay"
+	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/work"
 )
 
@@ -86,13 +87,24 @@
 	if may.policy == nil || may.policy.HedgeQuantile == 0 {
 		return never
 	}
-	delay := p.service.delay(may.policy.HedgeQuantile * 100)
+	delay := p.service.delay(hedgePercent(may.policy))
 	if delay == 0 {
 		return never
 	}
 	return max(delay, minHedgeDelay)
 }
 
+// budgetUse is the part of the hedge budget that is planned for: the rest is for
+// times in which more requests than usual are late.
+const budgetUse = 2.0 / 3
+
+// hedgePercent is the quantile, in percent, after which a hedge starts: that of
+// the preset, or a later one when the budget would not suffice for all beyond it
+// and be spent before the stragglers come.
+func hedgePercent(policy *settings.ServicePolicy) float64 {
+	return 100 * max(policy.HedgeQuantile, 1-budgetUse*policy.HedgeBudget)
+}
+
 // startHedge takes a slot at another upstream when the budget permits it, one is
 // free, and no request waits for it. It returns nil otherwise.
 func (p *pool) startHedge(ctx context.Context, first *slot, req *work.Request) *attempt {
--- a/internal/traffic/policy_test.go
+++ b/internal/traffic/policy_test.go
@@ -18,7 +18,6 @@
 // scenario is a replay of lookups against three regions of two zones, in
 // virtual time.
 type scenario struct {
-	name  string
 	sizes []int // upstreams of each zone
 	slots int
 	load  float64 // of all slots
@@ -124,6 +123,28 @@
 	return latencies
 }
 
+// idealByRegion returns the latencies of one ideal queue for each region, which
+// is what can be had without the travel time between regions.
+func (s *scenario) idealByRegion(all []arrival) []time.Duration {
+	var latencies []time.Duration
+	for first := 0; first < len(s.sizes); first += 2 {
+		part := scenario{sizes: slices.Clone(s.sizes), slots: s.slots, seed: s.seed, slow: s.slow}
+		for z := range part.sizes {
+			if z != first && z != first+1 {
+				part.sizes[z] = 0
+			}
+		}
+		var arrivals []arrival
+		for _, a := range all {
+			if a.zone == first || a.zone == first+1 {
+				arrivals = append(arrivals, a)
+			}
+		}
+		latencies = append(latencies, part.ideal(arrivals)...)
+	}
+	return latencies
+}
+
 // replay runs the scenario and returns the latencies of what ran, in order, and
 // the number of other answers.
 func (s *scenario) replay(t *testing.T, all []arrival) (latencies []time.Duration, failed int, f *fleet) {
@@ -197,7 +218,7 @@
 
 // tally sums what all instances did in the replays of a scenario.
 type tally struct {
-	got, ideal              []time.Duration
+	got, ideal, regional    []time.Duration
 	failed                  int
 	hedges, won, retries    int64
 	asks, shifted, requests int64
@@ -226,6 +247,7 @@
 		s.seed = seed
 		all := s.arrivals()
 		y.ideal = append(y.ideal, s.ideal(all)...)
+		y.regional = append(y.regional, s.idealByRegion(all)...)
 		got, failed, f := s.replay(t, all)
 		y.got = append(y.got, got...)
 		y.failed += failed
@@ -234,10 +256,12 @@
 	}
 	slices.Sort(y.got)
 	slices.Sort(y.ideal)
+	slices.Sort(y.regional)
 	t.Logf("seeds %v, %d requests, %d not run, hedges %d (%d won), retries %d, asks %d, shifted %d",
 		seeds, y.requests, y.failed, y.hedges, y.won, y.retries, y.asks, y.shifted)
 	for _, q := range []float64{0.5, 0.95, 0.98, 0.99, 0.995, 0.999} {
-		t.Logf("p%v: %v, ideal %v, ratio %.2f", q*100, quantile(y.got, q), quantile(y.ideal, q), y.ratio(q))
+		t.Logf("p%v: %v, ideal %v, ratio %.2f, ideal by region %v",
+			q*100, quantile(y.got, q), quantile(y.ideal, q), y.ratio(q), quantile(y.regional, q))
 	}
 	return &y
 }
@@ -248,25 +272,24 @@
 }
 
 // One request in a hundred is a straggler, so that the ideal queue's p99 is
-// that of a straggler with one seed and not with another. The limits are
-// therefore set on the quantiles below and above.
+// that of a straggler with one seed and not with another. The limits beside the
+// ideal queue are therefore set on the quantiles below and above it.
 func TestPolicyAgainstAnIdealQueue(t *testing.T) {
-	scenarios := []struct {
-		scenario
-		p98, p995 float64
-	}{
-		{scenario{name: "ordinary", sizes: lanternStatus(), slots: 5, load: 0.7, count: 6000}, 1.3, 0.5},
-		{scenario{name: "two slowed", sizes: lanternStatus(), slots: 5, load: 0.7, count: 6000, slow: []string{"z1-u0", "z4-u1"}}, 1.5, 0.5},
-	}
-	for _, s := range scenarios {
-		t.Run(s.name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			y := measure(t, s.scenario, 1, 2)
-			g.Expect(y.over).To(gomega.BeZero(), "upstreams over their slots")
-			g.Expect(y.ratio(0.98)).To(gomega.BeNumerically("<=", s.p98))
-			g.Expect(y.ratio(0.995)).To(gomega.BeNumerically("<=", s.p995))
-			g.Expect(y.hedges + y.retries).To(gomega.BeNumerically("<=", y.requests*5/100))
-			g.Expect(y.failed).To(gomega.BeZero())
-		})
+	g := gomega.NewWithT(t)
+	s := scenario{sizes: lanternStatus(), slots: 5, load: 0.7, count: 4000}
+	seeds := []uint64{1, 2, 3, 4}
+	ordinary := measure(t, s, seeds...)
+	s.slow = []string{"z1-u0", "z4-u1"}
+	slowed := measure(t, s, seeds...)
+	for _, y := range []*tally{ordinary, slowed} {
+		g.Expect(y.over).To(gomega.BeZero(), "upstreams over their slots")
+		g.Expect(y.failed).To(gomega.BeZero())
+		g.Expect(y.hedges + y.retries).To(gomega.BeNumerically("<=", y.requests*5/100))
+		g.Expect(y.ratio(0.995)).To(gomega.BeNumerically("<=", 0.5))
 	}
+	g.Expect(ordinary.ratio(0.98)).To(gomega.BeNumerically("<=", 1.3))
+	g.Expect(slowed.ratio(0.98)).To(gomega.BeNumerically("<=", 1.5))
+	tail := float64(quantile(slowed.got, 0.99)) / float64(quantile(ordinary.got, 0.99))
+	t.Logf("tail factor with two slowed upstreams %.2f", tail)
+	g.Expect(tail).To(gomega.BeNumerically("<=", 1.5))
 }
