--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -58,7 +58,30 @@
 // Digest describes one instance to others. Relays pass digests on to the
 // members of their zone and to other zones.
 type Digest struct {
-	Rows []DigestRow `cbor:"1,keyasint"`
+	Rows []DigestRow `cbor:"1,keyasint,omitempty"`
+	// Silent lists the zones that the sender, a speaker of the receiver's zone,
+	// has not heard for long, as indexes in declared order.
+	Silent []int `cbor:"2,keyasint,omitempty"`
+	// ConfigVersion is that of the sender.
+	ConfigVersion int64 `cbor:"3,keyasint,omitempty"`
+	// Resend asks the receiver for all rows of its zone: its digests may have
+	// been lost.
+	Resend bool `cbor:"4,keyasint,omitempty"`
+	// Heard lists the zones of which the sender, no speaker, has got a digest
+	// that was meant for the speakers of its zone.
+	Heard []int `cbor:"5,keyasint,omitempty"`
+	// Lowest is the lowest configuration version in the sender's zone, for
+	// other zones, and Versions passes on those of other zones within one.
+	Lowest   int64         `cbor:"6,keyasint,omitempty"`
+	Versions []ZoneVersion `cbor:"7,keyasint,omitempty"`
+}
+
+// ZoneVersion is the lowest configuration version of the live instances of a
+// zone, which is given by its index in declared order.
+type ZoneVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Zone    int
+	Version int64
 }
 
 // DigestRow is what is known of one instance. Of two rows about the same
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"sycamoreledge.example/internal/control"
@@ -155,46 +154,3 @@
 	}
 	return names
 }
-
-// watchedPlatform reports when the platform stops and starts to answer.
-type watchedPlatform struct {
-	platform.Client
-	events *event.Logger
-
-	mu        sync.Mutex
-	lostSince time.Time
-}
-
-func (p *watchedPlatform) note(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch lost := platform.Unavailable.Has(err); {
-	case lost && p.lostSince.IsZero():
-		p.lostSince = time.Now()
-		p.events.Log(event.PlatformUnreachable, "error", err)
-	case !lost && !p.lostSince.IsZero():
-		p.events.Log(event.PlatformBack, "after", time.Since(p.lostSince))
-		p.lostSince = time.Time{}
-	}
-}
-
-// Get implements platform.Client.
-func (p *watchedPlatform) Get(ctx context.Context, key string) (platform.Object, error) {
-	obj, err := p.Client.Get(ctx, key)
-	p.note(err)
-	return obj, err
-}
-
-// Put implements platform.Client.
-func (p *watchedPlatform) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
-	obj, err := p.Client.Put(ctx, key, value, version)
-	p.note(err)
-	return obj, err
-}
-
-// Instances implements platform.Client.
-func (p *watchedPlatform) Instances(ctx context.Context) ([]platform.Instance, error) {
-	list, err := p.Client.Instances(ctx)
-	p.note(err)
-	return list, err
-}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -81,8 +81,8 @@
 // they are cut off, after the silence of a remote timeout, and callers keep a
 // list for its age.
 func (e *entry) listedFor() time.Duration {
-	instances := len(e.bundle.Topology.Instances())
-	return control.RemoteTimeout(instances) + e.bundle.Settings.Control.MaxAge
+	timing := e.bundle.Settings.Control
+	return control.RemoteTimeout(e.bundle.Topology, timing) + timing.MaxAge
 }
 
 // pause waits for a time or the end of the context.
--- a/internal/lab/promises/case.go
+++ b/internal/lab/promises/case.go
@@ -25,6 +25,9 @@
 	// maxDeadline is the longest deadline of the load: uploads of an ordinary
 	// day may take longer than a case.
 	maxDeadline = 8 * time.Second
+	// maxOperation is how long a caller repeats an operation: longer than the
+	// longest fault.
+	maxOperation = 16 * time.Second
 	// settle is how long the load goes on after the last fault.
 	settle = 2 * time.Second
 )
@@ -53,7 +56,7 @@
 	if c.special != nil {
 		return c.checks
 	}
-	list := append([]Promise{Slots, Once, NotRun, Answers, Config}, c.checks...)
+	list := append([]Promise{Slots, Once, NotRun, Answers, Config, Caps}, c.checks...)
 	for _, f := range c.faults {
 		for _, p := range f.checks {
 			if !contains(list, p) {
@@ -83,13 +86,20 @@
 	if err != nil {
 		return err
 	}
-	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, Twice: c.twice})
+	load := e.StartLoad(ctx, trial.LoadOptions{Shares: e.shares, Preset: e.preset(), MaxDeadline: maxDeadline, MaxOperation: maxOperation, Twice: c.twice})
+	begin := time.Now()
 	pause(ctx, warmUp)
 	made, err := c.disturb(ctx, e)
 	c.settle(ctx, e, w, made)
 	ops := load.Stop()
-	e.report.Counts = describe(load.Stats.Totals())
+	e.describe(load.Stats.Totals())
+	if err := e.Save("operations-"+strings.ReplaceAll(c.Name, " ", "-")+".jsonl", ops); err != nil {
+		return err
+	}
 	samples := w.stop()
+	if err := e.checkCaps(ctx, begin, "ordinary", "peak"); err != nil {
+		return err
+	}
 	checkSamples(e.report, samples)
 	if made != nil {
 		checkChange(e.report, e.entries(), samples, *made)
@@ -205,7 +215,7 @@
 }
 
 // changeTimeout bounds one change.
-const changeTimeout = 10 * time.Second
+const changeTimeout = 4 * time.Second
 
 // otherPreset is the one that is not in force.
 func (e *env) otherPreset(ctx context.Context, operator *client.Client) string {
@@ -242,14 +252,28 @@
 	if len(c.faults) == 0 {
 		return
 	}
-	cut, unreached := 0, 0
+	stopping := map[string]bool{}
+	for _, f := range c.faults {
+		for _, name := range f.hurts(e.Plan) {
+			stopping[name] = true
+		}
+	}
+	cut, unreached, silent := 0, 0, 0
 	for _, op := range ops {
 		cut += op.Cut
 		unreached += op.Unreached
+		for _, f := range op.Failed {
+			if f.Reason == caller.ReasonTimeout && stopping[e.Plan.EntryAt(f.Entry)] {
+				silent++
+			}
+		}
 	}
 	if cut > 0 {
 		e.broken(Stops, "%d answers were cut off", cut)
 	}
+	if silent > 0 {
+		e.broken(Stops, "%d times an entry that stopped gave no answer in time", silent)
+	}
 	if unreached > 0 {
 		e.broken(Stops, "%d times an entry took no connection while callers could still know it", unreached)
 	}
--- a/internal/lab/promises/runner.go
+++ b/internal/lab/promises/runner.go
@@ -141,6 +141,7 @@
 		r.failed++
 		fmt.Fprintf(r.Out, "NOT CARRIED OUT %s (seed %d): %v\n", report.Case, r.Seed, report.Error)
 	}
+	defer r.printCauses(report)
 	for _, p := range report.promises() {
 		findings := report.of(p)
 		word := "held"
@@ -163,3 +164,17 @@
 		}
 	}
 }
+
+// maxCauses is how many causes are printed of a case that held.
+const maxCauses = 4
+
+// printCauses says why attempts brought no answer, all of it after a finding.
+func (r *runner) printCauses(report *Report) {
+	for i, cause := range report.Causes {
+		if i == maxCauses && report.Held() {
+			fmt.Fprintf(r.Out, "         and %d more causes\n", len(report.Causes)-i)
+			return
+		}
+		fmt.Fprintf(r.Out, "         attempts %s\n", cause)
+	}
+}
--- a/internal/lab/trace/text.go
+++ b/internal/lab/trace/text.go
@@ -219,7 +219,7 @@
 		e.Factor = factor
 	}
 	switch e.Action {
-	case Slow, Lag, Restart, Use, DrainZone, DrainUpstream, Undrain, Stop:
+	case Slow, Lag, Restart, Leave, Use, DrainZone, DrainUpstream, Undrain, Stop:
 		t.Events = append(t.Events, e)
 		return nil
 	default:
@@ -233,7 +233,8 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	defer f.Close()
+	// An error of closing a file that was only read changes nothing.
+	defer func() { _ = f.Close() }()
 	z, err := gzip.NewReader(f)
 	if err != nil {
 		return nil, Error.New("%s: %w", path, err)
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -33,6 +33,8 @@
 	WithoutPlatform bool
 	// Baseline runs the plain proxy in place of the entries.
 	Baseline bool
+	// Dilate stretches the time of the firm when above 0; see firm.Dilate.
+	Dilate float64
 	// KeyLifetime replaces the lifetime of issued keys when above 0.
 	KeyLifetime time.Duration
 }
@@ -56,6 +58,9 @@
 	if o.KeyLifetime > 0 {
 		f.Settings.Traffic.KeyLifetime = o.KeyLifetime
 	}
+	if o.Dilate > 0 {
+		f.Dilate(o.Dilate)
+	}
 	p, err := firm.Generate(o.Dir, f)
 	if err != nil {
 		return nil, err
@@ -65,7 +70,7 @@
 		return nil, err
 	}
 	t := &Trial{Plan: p, Cluster: c, Seed: o.Seed, history: verdict.NewHistory()}
-	if o.WithoutPlatform {
+	if o.WithoutPlatform || o.Baseline {
 		return t, nil
 	}
 	if err := t.ApplyPresets(ctx); err != nil {
@@ -116,8 +121,9 @@
 	Preset *settings.Preset
 	// Zones are those with callers; none means all.
 	Zones []string
-	// MaxDeadline shortens the deadlines when above 0.
-	MaxDeadline time.Duration
+	// MaxDeadline shortens the deadlines when above 0, and MaxOperation the
+	// time in which callers repeat an operation.
+	MaxDeadline, MaxOperation time.Duration
 	// Twice is the share of the operations sent through two entries at once.
 	Twice float64
 }
@@ -149,14 +155,30 @@
 				loads[j].Deadline = min(loads[j].Deadline, o.MaxDeadline)
 			}
 		}
-		seed := t.Seed<<20 ^ t.loads<<8 ^ uint64(i)
-		c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Seed: seed, Loads: loads, Stats: l.Stats})
-		l.callers = append(l.callers, c)
-		l.all.Go(func() { c.Run(ctx) })
+		for host := range callersPerZone {
+			seed := t.Seed<<20 ^ t.loads<<12 ^ uint64(i*callersPerZone+host)
+			c := caller.New(caller.Config{Plan: t.Plan, Zone: zone, Host: host, Seed: seed, Loads: part(loads), MaxOperation: o.MaxOperation, Stats: l.Stats})
+			l.callers = append(l.callers, c)
+			l.all.Go(func() { c.Run(ctx) })
+		}
 	}
 	return l
 }
 
+// callersPerZone is how many callers share the load of a zone: entries rank
+// the list by the caller's address, so that a single one would use one entry.
+const callersPerZone = 4
+
+// part is the load of one of the callers of a zone.
+func part(loads []caller.Load) []caller.Load {
+	parts := append([]caller.Load(nil), loads...)
+	for i := range parts {
+		parts[i].Rate /= callersPerZone
+		parts[i].MaxInFlight = max(1, parts[i].MaxInFlight/callersPerZone)
+	}
+	return parts
+}
+
 // Stop ends the load, waits for the operations under way and returns all.
 func (l *Load) Stop() []*caller.Op {
 	l.cancel()
