--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -22,8 +23,14 @@
 	sections []capacity.Section
 }
 
-// Run measures and prints the rows.
+// memoryLimit keeps the fleet of 2,400 below half of a machine of 32 GiB.
+const memoryLimit = 12 << 30
+
+// Run measures and prints the rows. A fleet in the middle of its steps does not
+// look at the context, so that its end ends the process.
 func (c *capacityCmd) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { os.Exit(1) })()
+	debug.SetMemoryLimit(memoryLimit)
 	if err := c.fleets(); err != nil {
 		return err
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -59,6 +59,7 @@
 	held     []held
 	messages []Outbound
 	events   []Event
+	views    views
 	// stale is set when the last snapshot no longer shows the tables.
 	stale bool
 }
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -46,8 +46,10 @@
 	timeout time.Duration
 	// clock counts changes of rows; sentTo holds its value at the last digest
 	// to an instance.
-	clock  uint64
-	sentTo map[int]uint64
+	// changes counts those that concern more than the load.
+	clock   uint64
+	changes uint64
+	sentTo  map[int]uint64
 	// heard lists the zones that the speakers of the own zone are told of.
 	heard []int
 	// versions lists the versions of other zones that the members of the own
@@ -89,6 +91,7 @@
 // touch marks a row as changed, so that it is part of the next digests.
 func (s *spread) touch(m *member) {
 	s.touchLoad(m)
+	s.changes++
 	m.changedAt = s.clock
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -13,6 +13,7 @@
 // buildSnapshot copies what traffic needs out of the tables.
 func (c *Core) buildSnapshot() *Snapshot {
 	zone := c.ix.zones[c.zone]
+	views := c.currentViews()
 	return &Snapshot{
 		At:               c.now,
 		Self:             c.identity.Instance,
@@ -22,8 +23,8 @@
 		State:            c.state,
 		Config:           c.config,
 		Preset:           c.preset,
-		Entries:          c.entryViews(),
-		Pools:            c.poolViews(),
+		Entries:          views.entries,
+		Pools:            views.pools,
 		Owned:            c.grants(),
 		LeavingUpstreams: c.leavingUpstreams(),
 		DrainedZones:     c.drainedZones(),
