--- a/internal/lab/measure/run.go
+++ b/internal/lab/measure/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,9 +35,11 @@
 	Names []string
 	// Systems are the real ones to run.
 	Systems []System
-	// Probes adds the overhead of an entry and the cost of at most once.
-	Probes bool
-	Out    io.Writer
+	// Compared are the traces that the baseline replays; none means all.
+	Compared []string
+	// Once adds the cost of running orders at most once.
+	Once bool
+	Out  io.Writer
 }
 
 // Replay is what one replay of a trace brought beside its rows.
@@ -55,7 +58,8 @@
 	Cut int `json:"cut"`
 	// Reasons counts what was not run or unknown.
 	Reasons map[work.Reason]int `json:"reasons,omitempty"`
-	// Behind is the 99th percentile of how late the replay was with its sends.
+	// Behind is the 99th percentile of how late the replay was with its sends,
+	// in the time of the trace.
 	Behind time.Duration `json:"behind"`
 	// Problems are events of the trace that could not be carried out.
 	Problems []string `json:"problems,omitempty"`
@@ -68,6 +72,8 @@
 	Started  time.Time `json:"started"`
 	Took     string    `json:"took"`
 	LoadBusy []string  `json:"load_average"`
+	// Pace is how many seconds a second of the traces lasted.
+	Pace     float64   `json:"pace"`
 	Rows     []Row     `json:"rows"`
 	Replays  []Replay  `json:"replays"`
 	Overhead *Overhead `json:"overhead,omitempty"`
@@ -75,17 +81,35 @@
 	Targets  []Target  `json:"targets"`
 }
 
+// maxBehind bounds Behind in a valid replay. Beyond it the machine was too busy
+// to send what the trace asks for, and the latencies say more of the machine
+// than of the system.
+const maxBehind = 5 * time.Millisecond
+
+// Valid reports whether the replay was on time with its sends.
+func (r *Replay) Valid() bool { return r.Behind <= maxBehind }
+
 // run is a measurement under way.
 type run struct {
 	Options
 	result  *Result
 	systems []*system
+	// firm is as declared, in the time of the traces.
+	firm *firm.Firm
 }
 
 // Run measures a firm.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	m := &run{Options: o, result: &Result{Firm: filepath.Base(o.Firm), Seed: o.Seed, Started: time.Now()}}
 	defer m.end()
+	if m.Dilate == 0 {
+		m.Dilate = 1
+	}
+	m.result.Pace = m.Dilate
+	var err error
+	if m.firm, err = firm.Load(o.Firm); err != nil {
+		return nil, err
+	}
 	if err := m.start(ctx); err != nil {
 		return nil, err
 	}
@@ -100,10 +124,8 @@
 			return nil, err
 		}
 	}
-	if o.Probes {
-		if err := m.probe(ctx); err != nil {
-			return nil, err
-		}
+	if err := m.probe(ctx); err != nil {
+		return nil, err
 	}
 	m.result.LoadBusy = append(m.result.LoadBusy, loadAverage())
 	m.result.Took = time.Since(m.result.Started).Round(time.Second).String()
@@ -141,12 +163,7 @@
 
 // warm sends load that is not measured, so that all upstreams are warm.
 func (m *run) warm(ctx context.Context, s *system) error {
-	f, err := firm.Load(m.Firm)
-	if err != nil {
-		return err
-	}
-	t := trace.Record(f, trace.WarmUp(), m.Seed)
-	_, err = m.replay(ctx, s, t)
+	_, err := m.replay(ctx, s, trace.Record(m.firm, trace.WarmUp(), m.Seed))
 	return err
 }
 
@@ -157,22 +174,37 @@
 		return err
 	}
 	for _, s := range m.systems {
+		if s.name == Baseline && !m.withBaseline(name) {
+			continue
+		}
 		samples, err := m.replay(ctx, s, t)
 		if err != nil {
 			return err
 		}
-		m.result.Rows = append(m.result.Rows, rows(s.name, t, samples, s.deadline(t))...)
+		m.result.Rows = append(m.result.Rows, rows(s.name, t, samples, m.deadline(t))...)
 	}
-	p := m.systems[0].trial.Plan
-	c := ideal.Config{Topology: &p.Topology, World: &p.World, Seed: m.Seed, Deadline: m.systems[0].deadline(t)}
+	c := ideal.Config{Topology: &m.firm.Topology, World: &m.firm.World, Seed: m.Seed, Deadline: m.deadline(t)}
 	m.result.Rows = append(m.result.Rows, rows(Ideal, t, idealSamples(ideal.Run(c, t)), c.Deadline)...)
 	return nil
 }
 
+// withBaseline reports whether the plain proxy replays a trace too.
+func (m *run) withBaseline(name string) bool {
+	return len(m.Compared) == 0 || slices.Contains(m.Compared, name)
+}
+
 // deadline returns the deadlines of the services in the trace's preset.
-func (s *system) deadline(t *trace.Trace) func(string) time.Duration {
-	preset := s.trial.Plan.Preset(t.Preset)
-	return func(service string) time.Duration { return preset.Service(service).Deadline }
+func (m *run) deadline(t *trace.Trace) func(string) time.Duration {
+	byService := map[string]time.Duration{}
+	for i := range m.firm.Presets {
+		if m.firm.Presets[i].Name != t.Preset {
+			continue
+		}
+		for _, s := range m.firm.Presets[i].Services {
+			byService[s.Name] = s.Deadline
+		}
+	}
+	return func(service string) time.Duration { return byService[service] }
 }
 
 // replay replays a trace under one system, then ends its faults and drains.
@@ -181,7 +213,7 @@
 		return nil, err
 	}
 	s.pass++
-	r, err := newReplay(t, s.trial.Plan, s.pass)
+	r, err := newReplay(t, s.trial.Plan, s.pass, s.pace)
 	if err != nil {
 		return nil, err
 	}
@@ -203,6 +235,9 @@
 	result.Free = h.free()
 	result.Attempts = attempts(ctx, s.trial.Plan).since(before)
 	s.trial.Note(r.finished()...)
+	if err := r.writeFailures(s.trial.Plan.Dir, t.Name); err != nil {
+		return nil, err
+	}
 	if err := s.reset(ctx); err != nil {
 		result.Problems = append(result.Problems, err.Error())
 	}
@@ -243,7 +278,7 @@
 	r.Reasons = map[work.Reason]int{}
 	var behind []time.Duration
 	for _, s := range p.samples {
-		behind = append(behind, s.Behind)
+		behind = append(behind, stretch(s.Behind, 1/p.pace))
 		if s.Outcome != work.Run {
 			r.Reasons[s.Reason]++
 		}
@@ -256,7 +291,7 @@
 
 // summary is one line about a replay.
 func (r *Replay) summary() string {
-	parts := []string{fmt.Sprintf("%.1f cores, %d MB, %.1f%% extra, sends %s late", r.Processor, r.Memory>>20, 100*r.Attempts.Extra(), ms(r.Behind))}
+	parts := []string{fmt.Sprintf("%s, %.1f cores, %d MB, %.1f%% extra, sends %s late", r.validity(), r.Processor, r.Memory>>20, 100*r.Attempts.Extra(), ms(r.Behind))}
 	if len(r.Reasons) > 0 {
 		parts = append(parts, fmt.Sprint("not run or unknown ", r.Reasons))
 	}
@@ -269,6 +304,14 @@
 	return strings.Join(append(parts, r.Problems...), "; ")
 }
 
+// validity says whether the figures count.
+func (r *Replay) validity() string {
+	if r.Valid() {
+		return "valid"
+	}
+	return "INVALID"
+}
+
 // loadAverage is that of the machine over a minute.
 func loadAverage() string {
 	data, err := os.ReadFile("/proc/loadavg")
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -23,6 +23,7 @@
 // route is a pool as seen from this instance.
 type route struct {
 	pool   work.PoolID
+	name   string // of the pool
 	region string
 	tier   tier
 	// roundTrip is the declared latency to the pool's region and back; 0 within
@@ -31,6 +32,34 @@
 	// full is until when the pool is taken to have no free slot, in Unix
 	// nanoseconds: it refused a moment ago.
 	full atomic.Int64
+	// refusals counts the refusals since the pool last ran a request.
+	refusals atomic.Int64
+}
+
+const (
+	// fullPause is how long a pool that refused is not asked for a free slot. A
+	// pool of another region is left alone for a round trip, and for twice as
+	// long after each further refusal.
+	fullPause    = 5 * time.Millisecond
+	maxFullPause = time.Second
+	maxDoublings = 6
+)
+
+// refused notes that the pool has no free slot.
+func (r *route) refused(now time.Time) {
+	pause := fullPause
+	if r.tier == otherRegion {
+		n := min(r.refusals.Add(1)-1, maxDoublings)
+		pause = min(max(r.roundTrip, fullPause)<<n, maxFullPause)
+	}
+	r.full.Store(now.Add(pause).UnixNano())
+}
+
+// ran notes that the pool ran a request.
+func (r *route) ran() {
+	if r.refusals.Load() != 0 {
+		r.refusals.Store(0)
+	}
 }
 
 // service is the static order of the pools of a service, nearest first.
@@ -50,6 +79,7 @@
 			pool:   work.PoolID{Service: declared.Name, Zone: pool.Zone},
 			region: topology.RegionOf(pool.Zone),
 		}
+		r.name = r.pool.String()
 		switch {
 		case pool.Zone == zone:
 			r.tier = ownZone
