Allow one write for claims that wait together

TestWaitingClaimsAreWrittenTogether wanted more than one write for 64 calls without a bound on the batch. The writer takes whatever waits when it starts: some calls, so that a second write takes the rest, or already all of them, when it is scheduled last. Both are right, and the second was seen on a busy machine (1 write). The table now says the least and the most writes of each row: 1 to 2 without a bound, and exactly one for each key with MaxBatch 1, where the test took half of that before.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -305,7 +305,11 @@
 
 func TestWaitingClaimsAreWrittenTogether(t *testing.T) {
 	const keys = 64
-	for _, c := range []struct{ maxBatch, writes int }{{0, 2}, {1, keys}} {
+	for _, c := range []struct{ maxBatch, least, most int }{
+		// The first write holds the claims that wait by then: some or all.
+		{maxBatch: 0, least: 1, most: 2},
+		{maxBatch: 1, least: keys, most: keys},
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			memory := platform.NewMemory()
@@ -321,8 +325,8 @@
 				})
 			}
 			waiting.Wait()
-			g.Expect(memory.Counts().Writes).To(gomega.BeNumerically("<=", c.writes))
-			g.Expect(memory.Counts().Writes).To(gomega.BeNumerically(">", c.writes/2))
+			g.Expect(memory.Counts().Writes).To(gomega.And(
+				gomega.BeNumerically(">=", c.least), gomega.BeNumerically("<=", c.most)))
 		})
 	}
 }
