--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -37,6 +37,9 @@
 	EventConfigAccepted
 	// EventConfigIgnored: a configuration older than ours arrived.
 	EventConfigIgnored
+	// EventZoneSilent: all instances of Zone, whose pools this zone adopts, are
+	// silent.
+	EventZoneSilent
 	// EventSuperseded: another process runs under this instance's name.
 	EventSuperseded
 )
--- a/internal/control/wards.go
+++ b/internal/control/wards.go
@@ -11,6 +11,8 @@
 	zone int
 	// holder is set where this instance is the one that grants and adopts.
 	holder bool
+	// heard is set while any instance of the ward is heard.
+	heard bool
 	// since is when this instance became holder or last lost track of time.
 	since time.Time
 	// doubt is when it was last possible that a former holder dispatched to
@@ -56,7 +58,12 @@
 	for i := range c.wards {
 		w := &c.wards[i]
 		c.updateHolder(w, candidates)
-		if c.wardHeard(w) || !w.holder {
+		heard := c.wardHeard(w)
+		if w.heard && !heard {
+			c.emit(Event{Kind: EventZoneSilent, Zone: c.ix.zones[w.zone].name, Duration: c.timing.Lease})
+		}
+		w.heard = heard
+		if heard || !w.holder {
 			c.giveBackAll(w)
 			continue
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,11 +73,31 @@
 		return
 	}
 	defer events.Close(logDrain)
-	id := event.SettingsInvalid
+	file := path
+	var fault *settings.FileError
+	if errors.As(err, &fault) {
+		file = fault.File
+	}
+	events.Log(loadFailureID(path, file, err), "file", file, "error", err)
+}
+
+// loadFailureID tells the files apart by what the settings, if they can be read
+// by themselves, name.
+func loadFailureID(path, file string, err error) event.ID {
 	if errors.Is(err, os.ErrNotExist) {
-		id = event.SettingsMissing
+		return event.SettingsMissing
+	}
+	s, loadErr := settings.Load(path)
+	switch {
+	case loadErr != nil:
+		return event.SettingsInvalid
+	case file == s.KeySecret:
+		return event.KeySecretInvalid
+	case file == s.Operators:
+		return event.OperatorsInvalid
+	default:
+		return event.SettingsInvalid
 	}
-	events.Log(id, "file", path, "error", err)
 }
 
 // entry holds the parts of a running instance.
@@ -104,6 +124,8 @@
 	operators *api.Operators
 	ranker    *locate.Ranker
 	leave     chan struct{}
+	// drains are those that the log reported last.
+	drains []settings.Drain
 }
 
 // build makes all parts, in the order in which they need each other, and opens
@@ -216,7 +238,7 @@
 		Snapshot: e.loop.Snapshot,
 		Peers:    e.links,
 		Run:      e.router.Serve,
-		Claimer:  &claimer{claims.New(e.platform, e.identity, claims.Config{Lifetime: s.Traffic.KeyLifetime})},
+		Claimer:  &claimer{claims: claims.New(e.platform, e.identity, claims.Config{Lifetime: s.Traffic.KeyLifetime}), events: e.events},
 		MaxKeys:  s.Traffic.MaxKeys,
 		MaxBytes: s.Traffic.MaxKeyBytes,
 	})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -48,11 +48,20 @@
 }
 
 // claimer adapts the claims on the platform to the keys' service.
-type claimer struct{ claims *claims.Claimer }
+type claimer struct {
+	claims *claims.Claimer
+	events *event.Logger
+}
 
 // Claim implements idempotency.Claimer.
 func (c *claimer) Claim(ctx context.Context, service, key string) (idempotency.Claim, error) {
 	claim, err := c.claims.Claim(ctx, service, key)
+	switch {
+	case err != nil:
+		c.events.Log(event.ClaimUncertain, "service", service, "error", err)
+	case !claim.Won:
+		c.events.Log(event.ClaimLost, "service", service)
+	}
 	return idempotency.Claim{Won: claim.Won, Holder: claim.Holder, Expires: claim.Expires}, err
 }
 
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/event"
@@ -35,14 +36,34 @@
 		e.events.Log(event.GrantRenewed, "zone", ev.Pool.Zone)
 	case control.EventConfigAccepted:
 		e.events.Log(event.ConfigInForce, "version", ev.Version, "preset", ev.Detail)
+		e.logDrains()
 	case control.EventConfigIgnored:
 		e.events.Log(event.ConfigOlderIgnored, "version", ev.Version, "have", e.loop.Snapshot().Config.Version)
+	case control.EventZoneSilent:
+		e.events.Log(event.ZoneSilent, "zone", ev.Zone, "silent", ev.Duration)
 	case control.EventSuperseded:
 		e.events.Log(event.MemberReplaced, "instance", ev.Instance)
 		e.requestLeave()
 	}
 }
 
+// logDrains compares the drains in force with those that were reported last. It
+// runs on the control goroutine.
+func (e *entry) logDrains() {
+	now := e.loop.Snapshot().Config.Drains
+	for _, d := range now {
+		if !slices.Contains(e.drains, d) {
+			e.events.Log(event.DrainStarted, "kind", d.Kind, "name", d.Name)
+		}
+	}
+	for _, d := range e.drains {
+		if !slices.Contains(now, d) {
+			e.events.Log(event.DrainEnded, "kind", d.Kind, "name", d.Name)
+		}
+	}
+	e.drains = slices.Clone(now)
+}
+
 func (e *entry) logState(ev control.Event) {
 	switch ev.State {
 	case control.CatchingUp:
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -195,18 +195,28 @@
 	}
 }
 
-// logReady reports when the instance takes part for the first time.
+// logReady reports when callers may use the instance, and when not.
 func (e *entry) logReady(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for e.ready() != nil {
+	ready := false
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		err := e.ready()
+		if ready == (err == nil) {
+			continue
+		}
+		ready = err == nil
+		if ready {
+			e.events.Log(event.Ready, "instance", e.identity.Instance, "after", time.Since(e.began))
+		} else {
+			e.events.Log(event.NotReady, "instance", e.identity.Instance, "reason", err)
+		}
 	}
-	e.events.Log(event.Ready, "instance", e.identity.Instance, "after", time.Since(e.began))
 }
 
 // close ends what is open, after a failed start as after a stop.
--- a/internal/event/ids.go
+++ b/internal/event/ids.go
@@ -48,17 +48,13 @@
 
 // Events of the area configuration.
 const (
-	ConfigAccepted     ID = 401
 	ConfigInForce      ID = 402
 	ConfigOlderIgnored ID = 403
 	ChangeApplied      ID = 404
 	ChangeConflict     ID = 405
 	ChangeRefused      ID = 406
 	ChangeUncertain    ID = 407
-	WatchSilent        ID = 408
-	WatchResumed       ID = 409
 	ConfigInvalid      ID = 410
-	AuditArchived      ID = 411
 )
 
 // Events of the area platform.
@@ -67,8 +63,6 @@
 	PlatformUnreachable ID = 502
 	PlatformBack        ID = 503
 	PlatformThrottled   ID = 504
-	PlatformAnswerLost  ID = 505
-	PlatformStale       ID = 506
 )
 
 // Events of the area peers.
@@ -80,7 +74,6 @@
 	PeerConnected       ID = 605
 	PeerLost            ID = 606
 	PeerImpostor        ID = 607
-	PeerOverLimit       ID = 608
 	PeerUnreachable     ID = 609
 )
 
