Tell of changes of upstreams and shifts

Owner and Router take a Notify function for typed events: states of upstreams, their leaving and the end of their last request, answers with the identity of another request, and shifts that start, end or meet their cap. Tested in virtual time; no cost on the path of a request beside the shift's mutex.

--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"sycamoreledge.example/internal/control"
+	"sycamoreledge.example/internal/traffic"
 	"sycamoreledge.example/internal/work"
 )
 
@@ -83,3 +86,40 @@
 		g.Expect(time.Since(start)).To(gomega.Equal(40 * time.Millisecond))
 	}, func() *fleet { return newFleet(work.Order, 2, 3, 1) })
 }
+
+func TestShiftsAreTold(t *testing.T) {
+	var mu sync.Mutex
+	var told []traffic.Event
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.drained = map[string]bool{"z1": true, "z2": true} })
+		router := traffic.New(traffic.Options{
+			Snapshot: func() *control.Snapshot { return f.snapshot("i1") },
+			Topology: f.topology, Self: "i1", Pools: f.owners["i1"], Peers: &wire{fleet: f, self: "i1"},
+			Notify: func(e traffic.Event) {
+				mu.Lock()
+				defer mu.Unlock()
+				told = append(told, e)
+			},
+		})
+		for range 20 { // the share is 1 a second with a burst of 1
+			router.Serve(t.Context(), f.request(time.Second))
+			<-time.After(100 * time.Millisecond)
+		}
+		<-time.After(10 * time.Second)
+		router.Serve(t.Context(), f.request(time.Second))
+		<-time.After(10 * time.Second)
+		kinds := []traffic.EventKind{}
+		for _, e := range told {
+			g.Expect(e.Service).To(gomega.Equal("s"))
+			g.Expect(e.Region).To(gomega.Equal("r2"))
+			kinds = append(kinds, e.Kind)
+		}
+		g.Expect(kinds).To(gomega.Equal([]traffic.EventKind{
+			traffic.ShiftStarted, traffic.ShiftCapped, traffic.ShiftEnded, traffic.ShiftStarted, traffic.ShiftEnded,
+		}))
+	}, func() *fleet {
+		f := newFleet(work.Order, 1, 2, 1)
+		f.preset.Services[0].ShiftRate = 2
+		return f
+	})
+}
--- a/internal/traffic/owner/owner.go
+++ b/internal/traffic/owner/owner.go
@@ -30,6 +30,9 @@
 	Upstreams Dispatcher
 	// ProbeInterval is the time between two probes of an upstream.
 	ProbeInterval time.Duration
+	// Notify is told of changes of upstreams by the goroutine of Run; nil tells
+	// nobody.
+	Notify func(Event)
 }
 
 // sweepInterval is how often queues are checked for lost grants, for slots that
@@ -44,6 +47,8 @@
 	probeInterval time.Duration
 	pools         map[work.PoolID]*pool
 	stats         Stats
+	notify        func(Event)
+	events        chan Event
 	// life ends with Run and bounds the probes.
 	life context.Context
 	end  context.CancelFunc
@@ -56,6 +61,8 @@
 		upstreams:     opt.Upstreams,
 		probeInterval: opt.ProbeInterval,
 		pools:         make(map[work.PoolID]*pool),
+		notify:        opt.Notify,
+		events:        make(chan Event, eventBuffer),
 	}
 	o.life, o.end = context.WithCancel(context.Background())
 	for _, service := range opt.Topology.Services {
@@ -76,10 +83,14 @@
 		select {
 		case <-ctx.Done():
 			return
+		case e := <-o.events:
+			if o.notify != nil {
+				o.notify(e)
+			}
 		case <-ticker.C:
-		}
-		for _, p := range o.pools {
-			p.sweep()
+			for _, p := range o.pools {
+				p.sweep()
+			}
 		}
 	}
 }
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -36,7 +36,9 @@
 func newPool(o *Owner, id work.PoolID, kind work.Kind, declared []settings.Upstream) *pool {
 	p := &pool{owner: o, id: id, kind: kind, waiting: list.New()}
 	for _, u := range declared {
-		p.rows = append(p.rows, newRow(u))
+		r := newRow(u)
+		r.changed = p.changed
+		p.rows = append(p.rows, r)
 	}
 	return p
 }
--- a/internal/traffic/owner/probe.go
+++ b/internal/traffic/owner/probe.go
@@ -26,6 +26,7 @@
 		return
 	}
 	for _, r := range p.rows {
+		p.followDrain(may, r)
 		if may.now.Sub(r.probed) >= p.owner.probeInterval {
 			p.startProbe(r, may.now)
 		}
--- a/internal/traffic/owner/row.go
+++ b/internal/traffic/owner/row.go
@@ -28,6 +28,12 @@
 	// it recovered.
 	tried time.Time
 
+	// leaving and drained are what was told of its leaving.
+	leaving bool
+	drained bool
+	// changed is called after each change of the state.
+	changed func(*row)
+
 	probing     bool
 	probed      time.Time // start of the last probe
 	probeLosses int
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -183,6 +183,9 @@
 	if trigger := symptom(resp, s); trigger != "" {
 		s.row.fire(trigger)
 	}
+	if result.Foreign {
+		p.emit(UpstreamMismatch, s.row)
+	}
 	if resp.Reason == work.ReasonUpstreamShed {
 		s.row.shedUntil = time.Now().Add(shedPause)
 	}
--- a/internal/traffic/owner/state.go
+++ b/internal/traffic/owner/state.go
@@ -102,4 +102,5 @@
 		r.warm = 0
 	}
 	r.state = s
+	r.changed(r)
 }
--- a/internal/traffic/owner/stats.go
+++ b/internal/traffic/owner/stats.go
@@ -19,4 +19,6 @@
 	// Held counts slots kept after an attempt that was given up.
 	Held   atomic.Int64
 	Probes atomic.Int64
+	// LostEvents counts events that were not told for want of a listener.
+	LostEvents atomic.Int64
 }
--- a/internal/traffic/router.go
+++ b/internal/traffic/router.go
@@ -30,6 +30,8 @@
 	// Peers reaches the owners of other pools; it paces what goes to other
 	// regions.
 	Peers peer.Transport
+	// Notify is told of shifts; nil tells nobody. It must not block.
+	Notify func(Event)
 }
 
 // Router steers requests. It is safe for concurrent use.
@@ -61,7 +63,7 @@
 		zones:    make(map[string]string),
 		services: make(map[string]*service),
 		liveness: newLiveness(),
-		shifts:   newShifts(opt.Topology, opt.Topology.RegionOf(zone)),
+		shifts:   newShifts(opt.Topology, opt.Topology.RegionOf(zone), opt.Notify),
 		inbound:  newInbound(opt.Topology, opt.Topology.RegionOf(zone)),
 	}
 	for _, z := range opt.Topology.Zones() {
--- a/internal/traffic/shift.go
+++ b/internal/traffic/shift.go
@@ -19,29 +19,39 @@
 // shifts keeps this instance within its share of the cap of each shift.
 type shifts struct {
 	declared int // instances of this region
+	notify   func(Event)
 
 	mu  sync.Mutex
-	all map[shiftKey]*limit.Shift // place is the region sent to
+	all map[shiftKey]*outbound // place is the region sent to
 }
 
-func newShifts(topology *settings.Topology, region string) *shifts {
+// outbound is one shift.
+type outbound struct {
+	limit limit.Shift
+	log   *shiftLog
+}
+
+func newShifts(topology *settings.Topology, region string, notify func(Event)) *shifts {
 	return &shifts{
 		declared: max(topology.InstancesOfRegion(region), 1),
-		all:      make(map[shiftKey]*limit.Shift),
+		notify:   notify,
+		all:      make(map[shiftKey]*outbound),
 	}
 }
 
 // allow reports whether one more request of the service may go to the region.
 func (s *shifts) allow(now time.Time, policy *settings.ServicePolicy, region string) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	key := shiftKey{policy.Name, region}
 	shift := s.all[key]
 	if shift == nil {
-		shift = &limit.Shift{}
+		shift = &outbound{log: &shiftLog{key: key, notify: s.notify}}
 		s.all[key] = shift
 	}
-	return shift.Allow(now, policy.ShiftRate/float64(s.declared), policy.ShiftRamp)
+	allowed := shift.limit.Allow(now, policy.ShiftRate/float64(s.declared), policy.ShiftRamp)
+	s.mu.Unlock()
+	shift.log.note(now, allowed)
+	return allowed
 }
 
 // inboundBurst is how much larger than at the sender the burst is at the
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return failed(ctx, t, &s, err)
 	}
+	foreign := resp.Header.Get(HeaderRequestID) != req.ID
 	answer, open := accept(req, resp)
 	if answer.Outcome == work.Unknown && ctx.Err() != nil {
 		return failed(ctx, t, &s, ctx.Err())
@@ -80,6 +81,7 @@
 	return Result{
 		Response: named(answer, t),
 		Silent:   answer.Outcome == work.Unknown,
+		Foreign:  foreign,
 		Open:     open,
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -64,6 +64,8 @@
 	// Silent is set when the upstream may still be working on the attempt: it
 	// was given up, or its connection broke, after it had been sent.
 	Silent bool
+	// Foreign is set when the answer bore the identity of another request.
+	Foreign bool
 	// Open is set when the body of the answer is still being received.
 	Open bool
 }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -153,6 +153,7 @@
 			g.Expect(result.Response.Outcome).To(gomega.Equal(c.outcome))
 			g.Expect(result.Response.Reason).To(gomega.Equal(c.reason))
 			g.Expect(result.Silent).To(gomega.Equal(c.silent))
+			g.Expect(result.Foreign).To(gomega.Equal(strings.Contains(c.name, "another request")))
 			g.Expect(seen.Load()).To(gomega.Equal(int64(1)))
 			if c.outcome != work.Run {
 				return
