Don't blame a peer for its upstream or a late answer

Change: the wait includes the travel time, a whole answer is kept, and a peer that answered a later request is not left alone. TestSlowUpstreamIsNotBlamedOnThePeer fails without the travel time.

--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -123,3 +123,19 @@
 		return f
 	})
 }
+
+// An upstream that never answers is no fault of the peer that owns its pool.
+func TestSlowUpstreamIsNotBlamedOnThePeer(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.drained = map[string]bool{"z1": true, "z2": true}; f.backends["z3-u0"].slow = 1000 })
+		for range 3 {
+			resp := f.routers["i1"].Serve(t.Context(), f.request(400*time.Millisecond))
+			g.Expect(resp.Explain).NotTo(gomega.ContainSubstring("peer_broken"))
+			g.Expect(resp.Explain).NotTo(gomega.ContainSubstring("peer_unreachable"))
+		}
+	}, func() *fleet {
+		f := newFleet(work.Lookup, 1, 1, 1)
+		f.preset.Services[0].DispatchTimeout = 300 * time.Millisecond
+		return f
+	})
+}
--- a/internal/traffic/liveness.go
+++ b/internal/traffic/liveness.go
@@ -69,6 +69,9 @@
 	switch resp.Reason {
 	case work.ReasonCanceled, work.ReasonLinkCap:
 	case work.ReasonPeerUnreachable, work.ReasonPeerBroken:
+		if p.heard.After(sent) {
+			return // it answered a later request
+		}
 		p.pause = min(max(2*p.pause, avoidFor), maxAvoid)
 		p.avoid = time.Now().Add(p.pause)
 		p.heard = time.Time{}
--- a/internal/traffic/send.go
+++ b/internal/traffic/send.go
@@ -45,9 +45,9 @@
 	}
 	left := time.Until(req.Deadline)
 	req.Deadline = sent.Add(min(time.Duration(float64(left)*lookupShare), t.lookupTimeout(r)))
-	bounded, cancel := context.WithDeadline(ctx, req.Deadline.Add(overdue))
+	bounded, cancel := context.WithDeadline(ctx, req.Deadline.Add(overdue+r.roundTrip))
 	resp := t.router.peers.Do(bounded, name, peer.RolePool, req)
-	if bounded.Err() != nil && ctx.Err() == nil {
+	if resp.Outcome != work.Run && bounded.Err() != nil && ctx.Err() == nil {
 		resp = work.Uncertain(work.ReasonPeerBroken)
 	}
 	t.router.liveness.note(name, sent, resp)
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -28,8 +28,9 @@
 	maxExplain = 1 << 10
 	// minAdvice is the advice for a later try when nothing better is known.
 	minAdvice = 100 * time.Millisecond
-	// overdue is how long after its deadline the answer of a peer is awaited.
-	overdue = 20 * time.Millisecond
+	// overdue is how long after its deadline the answer of a peer is awaited,
+	// beside the travel time between regions.
+	overdue = 50 * time.Millisecond
 	// maxShiftAsks bounds the pools of other regions that are asked.
 	maxShiftAsks = 3
 )
