Run a waiting repeat with its whole body

A repeat that waited for an attempt which did not run takes its turn. The reader for it was taken without asking whether the body can be read again; it can today, so that no failure was seen, but a nil reader would have crashed. Tested with a body beyond the replay limit, for both kinds of keys.

--- a/internal/idempotency/service.go
+++ b/internal/idempotency/service.go
@@ -233,9 +233,12 @@
 		return resp
 	}
 	again := *req
-	again.Body, _ = p.body.Next()
-	if req.Body == nil {
-		again.Body = nil
+	if req.Body != nil {
+		reader, ok := p.body.Next()
+		if !ok {
+			return work.Uncertain(work.ReasonBadRequest)
+		}
+		again.Body = reader
 	}
 	return s.serveOwnKey(ctx, &again)
 }
--- a/internal/idempotency/service_test.go
+++ b/internal/idempotency/service_test.go
@@ -276,3 +276,34 @@
 		g.Expect(w.runs("one")).To(gomega.BeZero())
 	})
 }
+
+// A repeat that waited for an attempt which did not run is run itself, with its
+// whole body.
+func TestRepeatRunsWhenTheFirstDidNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		w := newWorld()
+		a := w.join(g, "a", 1)
+		body := strings.Repeat("x", replay.Limit+10)
+		for name, key := range keys(t, a) {
+			refused := false
+			w.set(func() {
+				clear(w.ran)
+				w.answer = func(*work.Request) *work.Response {
+					<-time.After(runTime)
+					if refused {
+						return nil
+					}
+					refused = true
+					return work.Refuse(work.ReasonQueueFull, time.Second)
+				}
+			})
+			first := make(chan *work.Response, 1)
+			go func() { first <- a.Serve(t.Context(), order(key, body)) }()
+			synctest.Wait()
+			text(g, a.Serve(t.Context(), order(key, body)))
+			g.Expect((<-first).Outcome).To(gomega.Equal(work.NotRun), name)
+			g.Expect(w.runs(body)).To(gomega.Equal(1), name)
+		}
+	})
+}
