Keep the links alive when a datagram meets the end of its session

A UDP session ended after 60 s without an answer of its target and closed the channel that datagrams of the client go into: a client that still sent to a dead or frozen instance could crash the process of all links with a send on a closed channel. The session closes a channel of its own now.

--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -110,7 +110,7 @@
 
 // forwardUDP gives each client address a socket of its own towards the target.
 func forwardUDP(conn net.PacketConn, target string, there, back *pipe) {
-	sessions := &sessions{byClient: map[string]*session{}}
+	sessions := &sessions{idle: sessionIdle, byClient: map[string]*session{}}
 	for {
 		buf := make([]byte, maxDatagram)
 		n, client, err := conn.ReadFrom(buf)
@@ -128,6 +128,7 @@
 }
 
 type sessions struct {
+	idle     time.Duration
 	mu       sync.Mutex
 	byClient map[string]*session
 }
@@ -135,6 +136,9 @@
 type session struct {
 	far *net.UDPConn
 	way chan parcel
+	// ended is closed when the session ends; way never is, since datagrams of
+	// the client may come at the same moment.
+	ended chan struct{}
 }
 
 // get returns the session of a client, or nil when there is no socket for it.
@@ -149,27 +153,26 @@
 	if err != nil {
 		return nil
 	}
-	s := &session{far: conn.(*net.UDPConn), way: make(chan parcel, datagramsInFlight)}
+	s := &session{far: conn.(*net.UDPConn), way: make(chan parcel, datagramsInFlight), ended: make(chan struct{})}
 	t.byClient[key] = s
-	go sendAll(s.way, there, func(data []byte) { s.far.Write(data) }) //nolint:errcheck // datagrams may be lost
+	go sendAll(s.way, s.ended, there, func(data []byte) { s.far.Write(data) }) //nolint:errcheck // datagrams may be lost
 	go func() {
-		s.receive(near, client, back)
+		s.receive(near, client, back, t.idle)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.byClient, key)
-		close(s.way)
+		close(s.ended)
 	}()
 	return s
 }
 
 // receive passes the target's datagrams back until the session is idle.
-func (s *session) receive(near net.PacketConn, client net.Addr, back *pipe) {
+func (s *session) receive(near net.PacketConn, client net.Addr, back *pipe, idle time.Duration) {
 	way := make(chan parcel, datagramsInFlight)
-	defer close(way)
 	defer func() { _ = s.far.Close() }()
-	go sendAll(way, back, func(data []byte) { near.WriteTo(data, client) }) //nolint:errcheck // likewise
+	go sendAll(way, s.ended, back, func(data []byte) { near.WriteTo(data, client) }) //nolint:errcheck // likewise
 	for {
-		s.far.SetReadDeadline(time.Now().Add(sessionIdle)) //nolint:errcheck // an open socket takes it
+		s.far.SetReadDeadline(time.Now().Add(idle)) //nolint:errcheck // an open socket takes it
 		buf := make([]byte, maxDatagram)
 		n, err := s.far.Read(buf)
 		var timeout net.Error
@@ -200,11 +203,17 @@
 }
 
 // sendAll sends the datagrams at their times; those on the way at a cut vanish.
-func sendAll(way <-chan parcel, p *pipe, send func([]byte)) {
-	for next := range way {
-		time.Sleep(time.Until(next.at))
-		if !p.loses() {
-			send(next.data)
+// The end of the session ends it.
+func sendAll(way <-chan parcel, ended <-chan struct{}, p *pipe, send func([]byte)) {
+	for {
+		select {
+		case next := <-way:
+			time.Sleep(time.Until(next.at))
+			if !p.loses() {
+				send(next.data)
+			}
+		case <-ended:
+			return
 		}
 	}
 }
