Keep the body of an upload for a region that can run it

The transport sends a body without waiting for the answer, so that asking the other zone of the region, whose owner had lately said that no upstream takes work, used up a body that is longer than the replay buffer; nothing was left for another region. Change: a pool is not asked when other instances own it and lately had no slot for anybody. A refusal by a cap takes the place of no_upstream, which says nothing of what held the request back. The fake transport reads bodies as the real one does; both tests failed before. Ruled out: a larger replay buffer (memory for each upload); asking without the body first (a round trip for each upload). Tests of traffic pass.

--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -1,6 +1,7 @@
 package traffic_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -54,6 +55,7 @@
 	loads    map[work.PoolID]control.PoolOwner
 	drained  map[string]bool
 	unowned  map[string]bool // zones whose pool has no owner
+	leaving  map[string]bool // upstreams
 	frozen   map[string]bool // instances that answer nothing
 	next     int
 }
@@ -156,7 +158,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	snap := &control.Snapshot{
-		At: now, Self: self, Preset: f.preset, DrainedZones: f.drained,
+		At: now, Self: self, Preset: f.preset, DrainedZones: f.drained, LeavingUpstreams: f.leaving,
 		Pools: map[work.PoolID]*control.PoolView{},
 		Owned: map[work.PoolID]control.Grant{},
 	}
@@ -246,6 +248,14 @@
 	}
 	sent := *req
 	sent.Sender = w.self
+	if req.Body != nil {
+		// The transport sends the body without waiting for the answer.
+		data, err := io.ReadAll(req.Body)
+		if err != nil {
+			return work.Uncertain(work.ReasonPeerBroken)
+		}
+		sent.Body = bytes.NewReader(data)
+	}
 	pause(ctx, latency)
 	resp := w.fleet.routers[to].ServePool(ctx, &sent)
 	pause(ctx, latency)
--- a/internal/traffic/router_test.go
+++ b/internal/traffic/router_test.go
@@ -230,3 +230,36 @@
 		})
 	}
 }
+
+func TestUploadsLeaveARegionWithoutUpstreams(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() {
+			f.leaving = map[string]bool{}
+			for _, name := range []string{"z1-u0", "z1-u1", "z2-u0", "z2-u1"} {
+				f.leaving[name] = true
+			}
+		})
+		<-time.After(2 * time.Second)
+		for range 5 {
+			req := f.request(5 * time.Second)
+			req.Body = strings.NewReader(strings.Repeat("x", 2*replay.Limit))
+			req.Length = 2 * replay.Limit
+			resp := f.routers["i1"].Serve(t.Context(), req)
+			g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "%s %s", resp.Reason, resp.Explain)
+			<-time.After(time.Second)
+		}
+		g.Expect(f.runsIn("z3", "z4")).To(gomega.Equal(5))
+	}, func() *fleet { return newFleet(work.Upload, 2, 3, 1) })
+}
+
+func TestTheCapIsNamedWhereNoUpstreamIsNear(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.leaving = map[string]bool{"z1-u0": true, "z2-u0": true} })
+		<-time.After(2 * time.Second)
+		g.Expect(send(t, f, "i1", 3, time.Second)).To(gomega.Equal(map[work.Reason]int{work.ReasonShiftCap: 3}))
+	}, func() *fleet {
+		f := newFleet(work.Order, 1, 3, 1)
+		f.preset.Services[0].ShiftRate = 0
+		return f
+	})
+}
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -201,6 +201,18 @@
 	return view != nil && len(view.Owners) > 0 && !t.snap.DrainedZones[r.pool.Zone]
 }
 
+// empty reports whether another instance lately said that no upstream of the
+// pool takes work. Asking it all the same would send it the body, which can't
+// be sent again once it is longer than the replay buffer.
+func (t *trip) empty(r *route) bool {
+	for _, o := range t.snap.Pools[r.pool].Owners {
+		if o.Instance == t.router.self || o.Slots > 0 || time.Since(o.At) > loadMaxAge {
+			return false
+		}
+	}
+	return true
+}
+
 // mayBeFree reports whether the pool may have a slot for this zone, by its last
 // known load and refusals.
 func (t *trip) mayBeFree(r *route) bool {
@@ -231,6 +243,11 @@
 		t.unowned = t.unowned || r.tier == ownZone && !t.snap.DrainedZones[r.pool.Zone]
 		return nil
 	}
+	if t.empty(r) {
+		t.note(r, "", "no upstream takes work")
+		t.refuse(work.Refuse(work.ReasonNoUpstream, minAdvice))
+		return nil
+	}
 	for _, name := range t.owners(r) {
 		if ctx.Err() != nil {
 			t.refuse(work.Refuse(work.ReasonCanceled, 0))
@@ -313,9 +330,10 @@
 }
 
 // refuse keeps the refusal that the caller gets if nothing runs the request: the
-// first one of the nearest pool, with the shortest advice.
+// first one of the nearest pool that has upstreams, or the cap that kept the
+// request from going there, with the shortest advice.
 func (t *trip) refuse(resp *work.Response) {
-	if t.refusal == nil {
+	if t.refusal == nil || t.refusal.Reason == work.ReasonNoUpstream && resp.Reason != work.ReasonNoUpstream {
 		t.refusal = resp
 		return
 	}
