--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -99,6 +99,10 @@
 		s.service(w, r)
 		return
 	}
+	if r.ContentLength != 0 {
+		// The server would wait for the rest of the body, which nobody reads.
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // not with test recorders
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -132,7 +136,7 @@
 	defer x.finish()
 	req, refusal := x.request(start)
 	if refusal != nil {
-		x.respond(refusal)
+		s.observe(&work.Request{}, x.respond(refusal), time.Since(start))
 		return
 	}
 	defer s.active.Add(-1)
--- a/internal/traffic/shift.go
+++ b/internal/traffic/shift.go
@@ -19,29 +19,39 @@
 // shifts keeps this instance within its share of the cap of each shift.
 type shifts struct {
 	declared int // instances of this region
+	notify   func(Event)
 
 	mu  sync.Mutex
-	all map[shiftKey]*limit.Shift // place is the region sent to
+	all map[shiftKey]*outbound // place is the region sent to
 }
 
-func newShifts(topology *settings.Topology, region string) *shifts {
+// outbound is one shift.
+type outbound struct {
+	limit limit.Shift
+	log   *shiftLog
+}
+
+func newShifts(topology *settings.Topology, region string, notify func(Event)) *shifts {
 	return &shifts{
 		declared: max(topology.InstancesOfRegion(region), 1),
-		all:      make(map[shiftKey]*limit.Shift),
+		notify:   notify,
+		all:      make(map[shiftKey]*outbound),
 	}
 }
 
 // allow reports whether one more request of the service may go to the region.
 func (s *shifts) allow(now time.Time, policy *settings.ServicePolicy, region string) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	key := shiftKey{policy.Name, region}
 	shift := s.all[key]
 	if shift == nil {
-		shift = &limit.Shift{}
+		shift = &outbound{log: &shiftLog{key: key, notify: s.notify}}
 		s.all[key] = shift
 	}
-	return shift.Allow(now, policy.ShiftRate/float64(s.declared), policy.ShiftRamp)
+	allowed := shift.limit.Allow(now, policy.ShiftRate/float64(s.declared), policy.ShiftRamp)
+	s.mu.Unlock()
+	shift.log.note(now, allowed)
+	return allowed
 }
 
 // inboundBurst is how much larger than at the sender the burst is at the
@@ -51,19 +61,32 @@
 // inbound keeps each sender of another region within its share of the cap, in
 // case that it has another preset or is faulty.
 type inbound struct {
-	topology *settings.Topology
 	region   string
+	regionOf map[string]string // of the zones
+	declared map[string]int    // instances of the regions
 
 	mu  sync.Mutex
 	all map[shiftKey]*limit.Bucket // place is the sending instance
 }
 
 func newInbound(topology *settings.Topology, region string) *inbound {
-	return &inbound{topology: topology, region: region, all: make(map[shiftKey]*limit.Bucket)}
+	in := &inbound{
+		region:   region,
+		regionOf: make(map[string]string),
+		declared: make(map[string]int),
+		all:      make(map[shiftKey]*limit.Bucket),
+	}
+	for r, z := range topology.Zones() {
+		in.regionOf[z.Name] = r.Name
+		in.declared[r.Name] += len(z.Instances)
+	}
+	return in
 }
 
-// admit returns the refusal of a request beyond its sender's share, or nil.
-func (in *inbound) admit(snap *control.Snapshot, req *work.Request, from string) *work.Response {
+// admit returns the refusal of a request beyond its sender's share, or nil. Its
+// origin is the sender's zone.
+func (in *inbound) admit(snap *control.Snapshot, req *work.Request) *work.Response {
+	from := in.regionOf[req.Origin]
 	if from == in.region {
 		return nil
 	}
@@ -71,7 +94,7 @@
 	if policy == nil {
 		return work.Refuse(work.ReasonUnknownService, 0)
 	}
-	rate := policy.ShiftRate / float64(max(in.topology.InstancesOfRegion(from), 1))
+	rate := policy.ShiftRate / float64(max(in.declared[from], 1))
 	if rate <= 0 {
 		return work.Refuse(work.ReasonShiftCap, time.Second)
 	}
