Pack configurations, and share their sending between the watchers of a zone

Cause: a change is sent whole to each member of a zone by both watchers. At 800 members that was 7.3 KB a message and 449 KB in 5 s at one watcher; with a change every 17 s this alone is over the budget.

Change: a configuration travels compressed, packed once for all its receivers and bounded when it is unpacked. The watchers of a zone above 10 instances each send to their part; heartbeats show who lacks a version. The fleet of lab capacity uses presets that differ in all their figures.

Ruled out: deltas between versions. They need the base at each receiver, and what they would save now is a third of a kilobyte a second at a watcher.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"sycamoreledge.example/internal/settings"
@@ -65,8 +66,8 @@
 // pushConfig sends the configuration to the members of the zone and to one
 // speaker of each other zone, without waiting for their next heartbeat.
 func (c *Core) pushConfig() {
-	for _, i := range c.ix.zones[c.zone].instances {
-		if i != c.self {
+	for n, i := range c.ix.zones[c.zone].instances {
+		if i != c.self && c.pushesTo(n) {
 			c.sendConfig(i)
 		}
 	}
@@ -80,6 +81,16 @@
 	}
 }
 
+// pushesTo reports whether this instance sends a new configuration to the n-th
+// instance of its zone. The watchers of a large zone, which all learn it from
+// the platform, each send to their part; where one of them does not, the
+// versions in heartbeats show it.
+func (c *Core) pushesTo(n int) bool {
+	watchers := c.watchers()
+	rank := slices.Index(watchers, c.self)
+	return rank < 0 || len(c.ix.zones[c.zone].instances) <= zoneAsSet || n%len(watchers) == rank
+}
+
 // sendConfig sends the configuration without its audit records, which only
 // operators read and the platform keeps.
 func (c *Core) sendConfig(to int) {
@@ -88,9 +99,26 @@
 		return
 	}
 	m.configSentAt = c.now
+	if msg := c.configMessage(); msg != nil {
+		c.send(to, Message{Config: msg})
+	}
+}
+
+// configMessage returns the message with the present configuration, which is
+// made once for each version.
+func (c *Core) configMessage() *Config {
+	if c.sendable != nil && c.sendable.Value.Version == c.config.Version {
+		return c.sendable
+	}
 	bare := *c.config
 	bare.Audit = nil
-	c.send(to, Message{Config: &Config{Value: &bare}})
+	msg, err := newConfig(&bare)
+	if err != nil {
+		c.emit(Event{Kind: EventConfigIgnored, Version: bare.Version, Detail: err.Error()})
+		return nil
+	}
+	c.sendable = msg
+	return msg
 }
 
 // compareConfig sends or asks for the configuration when a peer's version
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -44,8 +44,10 @@
 	retired bool
 
 	config *settings.Config
-	preset *settings.Preset
-	policy map[string]settings.ServicePolicy // by service
+	// sendable is the message with the configuration, or with an older one.
+	sendable *Config
+	preset   *settings.Preset
+	policy   map[string]settings.ServicePolicy // by service
 
 	members  []member
 	outside  []outsideZone // by zone
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -29,7 +29,9 @@
 // Config carries the whole dynamic configuration to a peer that has an older
 // version, or, with a nil Value, asks a peer for its own.
 type Config struct {
-	Value *settings.Config `cbor:"1,keyasint"`
+	Value *settings.Config
+	// packed is the encoded form of Value, or nil where it is not made yet.
+	packed []byte
 }
 
 // Heartbeat tells a peer that the sender is alive. Heartbeats flow both ways
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -124,7 +124,10 @@
 }
 
 // watcher reports whether this instance watches the platform for its zone.
-func (c *Core) watcher() bool {
+func (c *Core) watcher() bool { return slices.Contains(c.watchers(), c.self) }
+
+// watchers returns the instances of the zone that watch the platform.
+func (c *Core) watchers() []int {
 	var live []int
 	for _, i := range c.ix.zones[c.zone].instances {
 		if c.alive(i) {
@@ -132,7 +135,7 @@
 		}
 	}
 	ranked := c.ix.rank("watcher/"+c.ix.zones[c.zone].name, live)
-	return slices.Contains(ranked[:min(watcherRanks, len(ranked))], c.self)
+	return ranked[:min(watcherRanks, len(ranked))]
 }
 
 // Roles are the duties that an instance has at the moment beside that of a
--- a/internal/lab/capacity/spreading.go
+++ b/internal/lab/capacity/spreading.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -78,19 +79,36 @@
 	return missing
 }
 
-// config returns a configuration of the usual size.
+// config returns a configuration of the usual size, whose presets differ in all
+// their figures.
 func (f *Fleet) config(version int64) *settings.Config {
+	r := rand.New(rand.NewPCG(uint64(version), 0))
 	cfg := &settings.Config{Version: version, InForce: f.initial.Name, Presets: map[string]settings.Preset{}}
 	for i := range presetCount {
-		p := *f.initial
+		p := *Preset(f.Top, f.initial.Name)
 		if i > 0 {
 			p.Name = zoneName(i)
 		}
+		for j := range p.Services {
+			vary(r, &p.Services[j])
+		}
 		cfg.Presets[p.Name] = p
 	}
 	return cfg
 }
 
+// vary gives a policy figures of its own. The dispatch timeout stays, since it
+// sets how long pools wait.
+func vary(r *rand.Rand, p *settings.ServicePolicy) {
+	p.Deadline += time.Duration(r.IntN(1000)) * time.Millisecond
+	p.Queue = r.IntN(1000)
+	p.HedgeQuantile = float64(900+r.IntN(99)) / 1000
+	p.HedgeBudget = float64(r.IntN(100)) / 1000
+	p.RetryBudget = float64(r.IntN(100)) / 1000
+	p.ShiftRate = float64(r.IntN(10000))
+	p.ShiftRamp = time.Duration(r.IntN(60)) * time.Second
+}
+
 func configBytes(cfg *settings.Config) int {
 	data, err := cbor.Marshal(control.Message{Config: &control.Config{Value: cfg}})
 	if err != nil {
