Send a large body only when the peer reads it

Change: a body over 256 KiB, or of unknown length, is held until the peer's handler reads it (frame 9, continue), which owners do once they have a slot. The contract test fails without the hold on both transports.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -108,8 +108,12 @@
 
 // do sends a request and returns the response.
 func (x *exchange) do(head []byte, req *work.Request) *work.Response {
-	x.send(frameRequest, head, req.Body, req.Length)
-	payload, err := x.frames.frame(frameResponse, x.conn.node.config.Limits.HeadBytes)
+	var goAhead chan struct{}
+	if holds(req.Body, req.Length) {
+		goAhead = make(chan struct{})
+	}
+	x.send(frameRequest, head, req.Body, req.Length, goAhead)
+	payload, err := x.response(goAhead)
 	if err != nil {
 		return x.fail(err)
 	}
@@ -127,6 +131,25 @@
 	return resp
 }
 
+// response reads frames up to the response. It closes goAhead, which is nil for
+// a body that was not held, when the peer wants the body.
+func (x *exchange) response(goAhead chan struct{}) ([]byte, error) {
+	for {
+		kind, payload, err := x.frames.next(x.conn.node.config.Limits.HeadBytes)
+		switch {
+		case err != nil:
+			return nil, err
+		case kind == frameResponse:
+			return payload, nil
+		case kind == frameContinue && goAhead != nil:
+			close(goAhead)
+			goAhead = nil
+		default:
+			return nil, errMalformed.New("frame of type %d in place of a response", kind)
+		}
+	}
+}
+
 // fail ends the exchange without a response.
 func (x *exchange) fail(err error) *work.Response {
 	if !errCut.Has(err) {
@@ -141,9 +164,9 @@
 }
 
 // send writes a head and a body. A body that is not in memory is sent by a
-// goroutine of its own, so that an early response is seen at once. Failures of
-// the stream show in the response.
-func (x *exchange) send(kind frameType, head []byte, body io.Reader, length int64) {
+// goroutine of its own, so that an early response is seen at once, and after
+// goAhead where that is not nil. Failures of the stream show in the response.
+func (x *exchange) send(kind frameType, head []byte, body io.Reader, length int64, goAhead <-chan struct{}) {
 	buffer := make([]byte, 0, frameHeaderBytes+len(head))
 	buffer = appendFrame(buffer, kind, head)
 	if body == nil {
@@ -158,6 +181,9 @@
 	}
 	x.write(buffer)
 	go func() {
+		if !x.await(goAhead) {
+			return
+		}
 		if err := sendBody(x.stream, body, length); err != nil {
 			x.stream.CancelWrite(codeBroken)
 			return
@@ -166,6 +192,20 @@
 	}()
 }
 
+// await waits for the peer to want the body; it returns false when the exchange
+// ended before.
+func (x *exchange) await(goAhead <-chan struct{}) bool {
+	if goAhead == nil {
+		return true
+	}
+	select {
+	case <-goAhead:
+		return true
+	case <-x.ctx.Done():
+		return false
+	}
+}
+
 func (x *exchange) write(b []byte) { _, _ = x.stream.Write(b) }
 
 // inMemory returns the whole body when it is a small one that is read without
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	"closing the response early cancels":           testCloseEarly,
 	"the deadline reaches the handler":             testDeadline,
 	"a passed deadline is refused":                 testPassedDeadline,
+	"a refusal leaves a large body unread":         testHeldBodyRefused,
+	"a large body arrives whole when it is read":   testHeldBodyRead,
 	"a handler that overstays holds nobody up":     testOverstay,
 	"an unknown peer is unreachable":               testUnknownPeer,
 	"a cut before the request proves not run":      testCutBefore,
@@ -336,3 +339,49 @@
 	resp := a.Do(context.Background(), "b", peer.RolePool, req)
 	g.Expect(resp).To(gomega.Equal(work.Refuse(work.ReasonDeadline, 0)))
 }
+
+// heldBody is larger than what is sent without being asked for.
+const heldBody = 1 << 20
+
+// countingReader counts reads.
+type countingReader struct {
+	io.Reader
+	reads atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	r.reads.Add(1)
+	return r.Reader.Read(p)
+}
+
+func upload(body io.Reader) *work.Request {
+	req := lookup(body, heldBody)
+	req.Kind = work.Upload
+	return req
+}
+
+func testHeldBodyRefused(_ *testing.T, g gomega.Gomega, n network) {
+	n.start("b", 1, handler{serve: func(context.Context, peer.Role, *work.Request) *work.Response {
+		return work.Refuse(work.ReasonQueueFull, time.Second)
+	}})
+	a := n.start("a", 1, handler{})
+	body := &countingReader{Reader: bytes.NewReader(make([]byte, heldBody))}
+	resp := a.Do(context.Background(), "b", peer.RolePool, upload(body))
+	g.Expect(resp.Outcome).To(gomega.Equal(work.NotRun))
+	g.Expect(resp.Reason).To(gomega.Equal(work.ReasonQueueFull))
+	g.Expect(body.reads.Load()).To(gomega.BeZero())
+}
+
+func testHeldBodyRead(_ *testing.T, g gomega.Gomega, n network) {
+	sent := bytes.Repeat([]byte("0123456789abcdef"), heldBody/16)
+	n.start("b", 1, handler{serve: func(_ context.Context, _ peer.Role, req *work.Request) *work.Response {
+		got, err := io.ReadAll(req.Body)
+		if err != nil || !bytes.Equal(got, sent) {
+			return work.Refuse(work.ReasonBadRequest, 0)
+		}
+		return &work.Response{Outcome: work.Run, Status: 200}
+	}})
+	a := n.start("a", 1, handler{})
+	resp := a.Do(context.Background(), "b", peer.RolePool, upload(&countingReader{Reader: bytes.NewReader(sent)}))
+	g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "%+v", resp)
+}
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -32,6 +32,7 @@
 		frameKeys:      DefaultHeadBytes,
 		frameKeysReply: DefaultHeadBytes,
 		frameAbort:     0,
+		frameContinue:  0,
 	}))
 	for _, protocol := range []string{protocolShort, protocolBulk} {
 		g.Expect(string(doc)).To(gomega.ContainSubstring("`" + protocol + "`"))
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -22,6 +22,7 @@
 	frameKeys      frameType = 6
 	frameKeysReply frameType = 7
 	frameAbort     frameType = 8 // the body could not be read whole
+	frameContinue  frameType = 9 // the body of a held request is wanted
 )
 
 // A frame is its type (1 byte), the length of the payload (4 bytes, big
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -33,7 +33,7 @@
 
 // giveKeys sends the keys and waits for the acknowledgement.
 func (x *exchange) giveKeys(head, value []byte) error {
-	x.send(frameKeys, head, bytes.NewReader(value), int64(len(value)))
+	x.send(frameKeys, head, bytes.NewReader(value), int64(len(value)), nil)
 	payload, err := x.frames.frame(frameKeysReply, x.conn.node.config.Limits.HeadBytes)
 	if err != nil {
 		x.finish(codeCanceled)
--- a/internal/peer/memory_exchange.go
+++ b/internal/peer/memory_exchange.go
@@ -81,7 +81,8 @@
 	ctx, cancel := context.WithDeadline(x.ctx, served.Deadline)
 	stop := func() {}
 	if head.HasBody {
-		served.Body, stop = x.pump(&memoryBody{exchange: x, from: x.from, to: x.to, src: req.Body, declared: head.Length})
+		body := &memoryBody{exchange: x, from: x.from, to: x.to, src: req.Body, declared: head.Length}
+		served.Body, stop = x.pump(body, head.Hold)
 	}
 	resp := x.target.handler.ServeWork(ctx, head.Role, served)
 	stop()
@@ -108,23 +109,43 @@
 }
 
 // pump reads the request's body apart from the handler, which is then not held
-// up by a body that blocks. The returned function stops it.
-func (x *memoryExchange) pump(body *memoryBody) (io.Reader, func()) {
+// up by a body that blocks. A held body waits for the handler's first read. The
+// returned function stops it.
+func (x *memoryExchange) pump(body *memoryBody, hold bool) (io.Reader, func()) {
 	reader, writer := io.Pipe()
 	unwatch := context.AfterFunc(x.ctx, func() {
 		_ = writer.CloseWithError(Error.Wrap(cut(context.Cause(x.ctx))))
 	})
-	go func() {
+	copyAll := func() {
 		_, err := io.Copy(writer, body)
 		_ = writer.CloseWithError(err)
-	}()
-	return reader, func() {
+	}
+	source := io.Reader(reader)
+	if hold {
+		source = &lazyReader{Reader: reader, start: copyAll}
+	} else {
+		go copyAll()
+	}
+	return source, func() {
 		unwatch()
 		body.stop()
 		_ = reader.CloseWithError(errCut.New("body is closed"))
 	}
 }
 
+// lazyReader starts what fills it at the first read.
+type lazyReader struct {
+	io.Reader
+	start func()
+	once  sync.Once
+}
+
+// Read implements io.Reader.
+func (r *lazyReader) Read(p []byte) (int, error) {
+	r.once.Do(func() { go r.start() })
+	return r.Reader.Read(p)
+}
+
 func closeBody(resp *work.Response) {
 	if resp.Body != nil {
 		resp.Body.Close()
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,6 +71,16 @@
 	codeUnwanted quic.ApplicationErrorCode = 3
 )
 
+// holdBytes is the size above which a body is sent only when the peer reads it,
+// so that a refusal leaves it whole for another peer. Smaller ones are kept by
+// the sender for that.
+const holdBytes = 256 << 10
+
+// holds reports whether the body of a request waits for the peer.
+func holds(body io.Reader, length int64) bool {
+	return body != nil && (length < 0 || length > holdBytes)
+}
+
 // Error is the class of errors of this package.
 var Error = errs.Class("peer")
 
@@ -98,6 +109,8 @@
 	Pool      work.PoolID         `cbor:"13,keyasint"`
 	Origin    string              `cbor:"14,keyasint,omitempty"`
 	Queue     bool                `cbor:"15,keyasint,omitempty"`
+	// Hold says that the body follows only after frameContinue.
+	Hold bool `cbor:"16,keyasint,omitempty"`
 }
 
 // responseHead opens a response.
@@ -202,6 +215,7 @@
 	if req.Body != nil {
 		head.HasBody = true
 		head.Length = req.Length
+		head.Hold = holds(req.Body, req.Length)
 	}
 	return head
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -62,9 +63,13 @@
 	var body *servedBody
 	if head.HasBody {
 		body = &servedBody{conn: c, body: newBodyReader(frames, head.Length)}
+		if head.Hold {
+			body.held = stream
+		}
 		req.Body = body
 	}
 	resp := c.node.config.Handler.ServeWork(ctx, head.Role, req)
+	body.stopAsking()
 	// What the handler did not read is not wanted.
 	stream.CancelRead(codeDone)
 	c.respond(ctx, stream, resp)
@@ -74,10 +79,39 @@
 type servedBody struct {
 	conn *conn
 	body *bodyReader
+
+	mu sync.Mutex
+	// held is the stream on which the sender waits to be asked for the body.
+	held io.Writer
+}
+
+// ask has a held body sent.
+func (b *servedBody) ask() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.held == nil {
+		return nil
+	}
+	_, err := b.held.Write(appendFrame(nil, frameContinue, nil))
+	b.held = nil
+	return err
+}
+
+// stopAsking keeps frames of the body's reader out of the response.
+func (b *servedBody) stopAsking() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held = nil
 }
 
 // Read implements io.Reader. It returns io.EOF only when the body is whole.
 func (b *servedBody) Read(p []byte) (int, error) {
+	if err := b.ask(); err != nil {
+		return 0, Error.Wrap(err)
+	}
 	failed := b.body.err != nil
 	n, err := b.body.Read(p)
 	if err == nil || errors.Is(err, io.EOF) {
