Ask a pool of another region by one request at a time until it takes one

Change: a pool beyond the region that did not take the last request is asked by one request at a time; the others go on as if it was full, and wait shortly where their own zone is drained.

--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -34,6 +34,10 @@
 	full atomic.Int64
 	// wait is what the last refusal expected, in nanoseconds.
 	wait atomic.Int64
+	// open is set while the pool takes what it is sent; until then one request at
+	// a time is sent there, which asking marks.
+	open   atomic.Bool
+	asking atomic.Bool
 	// refusals counts the refusals since the pool last ran a request.
 	refusals atomic.Int64
 }
@@ -50,6 +54,7 @@
 // refused notes that the pool has no free slot.
 func (r *route) refused(now time.Time, wait time.Duration) {
 	r.wait.Store(int64(wait))
+	r.open.Store(false)
 	pause := fullPause
 	if r.tier == otherRegion {
 		n := min(r.refusals.Add(1)-1, maxDoublings)
@@ -60,6 +65,7 @@
 
 // ran notes that the pool ran a request.
 func (r *route) ran() {
+	r.open.Store(true)
 	if r.refusals.Load() != 0 {
 		r.refusals.Store(0)
 	}
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -192,20 +193,35 @@
 		if now.Add(r.roundTrip).After(t.req.Deadline) {
 			continue
 		}
-		if !t.router.shifts.allow(now, t.policy, r.region) {
-			t.note(r, "", string(work.ReasonShiftCap))
-			t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
-			continue
-		}
-		t.asks++
-		t.router.stats.Shifted.Add(1)
-		if resp := t.ask(ctx, r, false); resp != nil {
+		if resp := t.askOther(ctx, r, now); resp != nil {
 			return resp
 		}
 	}
 	return nil
 }
 
+// askOther asks a pool of another region. One that did not take the last request
+// is asked by one request at a time.
+func (t *trip) askOther(ctx context.Context, r *route, now time.Time) *work.Response {
+	if !r.open.Load() {
+		if !r.asking.CompareAndSwap(false, true) {
+			t.note(r, "", "another request asks")
+			t.refuse(work.Refuse(work.ReasonShiftCap, r.roundTrip))
+			t.wait = cmp.Or(t.wait, r.roundTrip)
+			return nil
+		}
+		defer r.asking.Store(false)
+	}
+	if !t.router.shifts.allow(now, t.policy, r.region) {
+		t.note(r, "", string(work.ReasonShiftCap))
+		t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
+		return nil
+	}
+	t.asks++
+	t.router.stats.Shifted.Add(1)
+	return t.ask(ctx, r, false)
+}
+
 // nearestFar is the nearest pool of another region, or nil.
 func (t *trip) nearestFar() *route {
 	for _, r := range t.service.routes {
