Hold a slot before a long body is sent to a peer

Cause: the transport sends a body without waiting for the owner's answer, so that a body beyond the replay buffer was gone after one refusal, and the upload was refused although the next pool had slots (TestLongBodiesSurviveRefusals fails without the change: queue_full by the own pool, headroom by the neighbour, no third candidate). Change: for such bodies the router first asks the peer, without the body, to hold a slot; the owner holds it for 500 ms. The question never runs anything, so that a lost answer to it is a refusal. The cap of a shift counts the question and not the upload that follows. Callers can't use the methods of pings and questions.

Cost: one round trip for each upload of more than 256 KB to a peer. Ruled out: a grant inside the protocol between instances, which would save it and needs a new frame.

--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -25,6 +25,8 @@
 	retries budget
 	hedges  budget
 	scratch []time.Duration // for slowLimit
+	// reserved are the slots held for requests on their way, by request.
+	reserved map[string]*reservation
 }
 
 // cachedPolicy is the policy of the pool's service in one preset.
@@ -34,7 +36,7 @@
 }
 
 func newPool(o *Owner, id work.PoolID, kind work.Kind, declared []settings.Upstream) *pool {
-	p := &pool{owner: o, id: id, kind: kind, waiting: list.New()}
+	p := &pool{owner: o, id: id, kind: kind, waiting: list.New(), reserved: make(map[string]*reservation)}
 	for _, u := range declared {
 		r := newRow(u)
 		r.changed = p.changed
--- a/internal/traffic/router_test.go
+++ b/internal/traffic/router_test.go
@@ -263,3 +263,31 @@
 		return f
 	})
 }
+
+// A long body is sent only to a pool that holds a slot for it: refusals on the
+// way leave it whole.
+func TestLongBodiesSurviveRefusals(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		answers := make(chan *work.Response, 60)
+		for range 60 {
+			req := f.request(5 * time.Second)
+			req.Body = strings.NewReader(strings.Repeat("x", 2*replay.Limit))
+			req.Length = 2 * replay.Limit
+			go func() { answers <- f.routers["i1"].Serve(t.Context(), req) }()
+			<-time.After(2 * time.Millisecond)
+		}
+		for range 60 {
+			resp := <-answers
+			g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "%s %s", resp.Reason, resp.Explain)
+		}
+		for _, b := range f.backends {
+			g.Expect(b.most).To(gomega.BeNumerically("<=", 3))
+		}
+		<-time.After(time.Second)
+		for _, o := range f.owners {
+			for _, row := range o.Load() {
+				g.Expect(row.Busy).To(gomega.BeZero())
+			}
+		}
+	}, func() *fleet { return newFleet(work.Upload, 1, 3, 1) })
+}
