Let the plain proxy use other regions when its own has none

Change: the upstreams of other regions are asked when none of the region is live. Ruled out: one list over all regions, which would pay the links all the time.

--- a/internal/lab/baseline/baseline_test.go
+++ b/internal/lab/baseline/baseline_test.go
@@ -170,3 +170,18 @@
 	g.Expect(rec.Body.String()).To(gomega.MatchRegexp(`"name":"e".*"name":"f"`))
 	g.Expect(maxAge).To(gomega.BeNumerically("<=", 5*time.Second))
 }
+
+func TestAnotherRegionServesWhenNoneIsLiveHere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := newBack(t), newBack(t)
+	near.state.Store(`{"state":"leaving"}`)
+	x := newProxy(t, work.Order, near)
+	target := x.pools["s"].members[0].target
+	target.Address = strings.TrimPrefix(far.URL, "http://")
+	x.far["s"] = &pool{members: []*member{{target: target, live: true}}}
+	start(t, x)
+	ask(x, "5000")
+	x.pools["s"].look(t.Context(), http.DefaultClient, x.pools["s"].members[0])
+	ask(x, "5000")
+	g.Expect([]int32{near.count.Load(), far.count.Load()}).To(gomega.Equal([]int32{1, 1}))
+}
--- a/internal/lab/baseline/pool.go
+++ b/internal/lab/baseline/pool.go
@@ -124,9 +124,9 @@
 	return Error.Wrap(json.NewDecoder(resp.Body).Decode(v))
 }
 
-// pools returns the upstreams of each service in the region of an entry, with
-// the addresses that its zone reaches them at.
-func pools(p *firm.Plan, zone string) map[string]*pool {
+// pools returns the upstreams of each service in the region of an entry, or
+// those of all others, with the addresses that its zone reaches them at.
+func pools(p *firm.Plan, zone string, near bool) map[string]*pool {
 	through := map[string]string{}
 	for _, f := range p.Forwards {
 		if f.From == zone {
@@ -138,7 +138,7 @@
 	for _, s := range p.Topology.Services {
 		list := &pool{}
 		for _, declared := range s.Pools {
-			if firm.RegionOf(&p.Topology, declared.Zone) != region {
+			if (firm.RegionOf(&p.Topology, declared.Zone) == region) != near {
 				continue
 			}
 			for _, u := range declared.Upstreams {
--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -52,6 +52,8 @@
 	entry *firm.Entry
 	kinds map[string]work.Kind
 	pools map[string]*pool
+	// far holds the upstreams of other regions, for when none is live here.
+	far   map[string]*pool
 	send  *upstream.Client
 	queue chan *job
 	// workers is the number of requests that run at a time.
@@ -68,7 +70,8 @@
 		plan:    p,
 		entry:   e,
 		kinds:   map[string]work.Kind{},
-		pools:   pools(p, e.Zone),
+		pools:   pools(p, e.Zone, true),
+		far:     pools(p, e.Zone, false),
 		send:    upstream.NewClient(nil),
 		queue:   make(chan *job, maxQueue),
 		workers: workers(p, e.Zone),
@@ -105,9 +108,11 @@
 // Run works until ctx ends.
 func (x *Proxy) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	for _, p := range x.pools {
-		for _, m := range p.members {
-			go p.watch(ctx, client, m)
+	for _, all := range []map[string]*pool{x.pools, x.far} {
+		for _, p := range all {
+			for _, m := range p.members {
+				go p.watch(ctx, client, m)
+			}
 		}
 	}
 	for range x.workers {
@@ -143,6 +148,9 @@
 // run sends a request to one upstream after the other until one takes it.
 func (x *Proxy) run(j *job) *work.Response {
 	p := x.pools[j.req.Service]
+	if p.live() == 0 {
+		p = x.far[j.req.Service]
+	}
 	broken, wait := 0, shedPause
 	for j.ctx.Err() == nil {
 		for range max(1, p.live()) {
