--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -1,7 +1,7 @@
 // Package baseline is the plain proxy that the system is compared with: round
-// robin over the list of live upstreams of its region, one queue for all kinds
-// of work, no hedging, trust in the load reports of the upstreams, and no word
-// with the other entries. It is what a careful operator gets from a common
+// robin over the live upstreams of its region, or of the others when it has
+// none, one queue for all kinds of work, no hedging, trust in the load reports
+// of the upstreams, and no word with the other entries. It is what a careful operator gets from a common
 // load balancer, and it is never shipped.
 package baseline
 
