Refuse at the plain proxy what its queue holds too long

Change: the handler gives up at the deadline and takes the request out. Ruled out: longer patience of callers. Measured: tests of the package pass with the race detector; the new one hung before.

--- a/internal/lab/baseline/baseline_test.go
+++ b/internal/lab/baseline/baseline_test.go
@@ -185,3 +185,13 @@
 	ask(x, "5000")
 	g.Expect([]int32{near.count.Load(), far.count.Load()}).To(gomega.Equal([]int32{1, 1}))
 }
+
+func TestARequestIsRefusedWhenItsTimeEndsInTheQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one := newBack(t)
+	x := newProxy(t, work.Order, one)
+	g.Expect(ask(x, "50").Header().Get(headerReason)).To(gomega.Equal(string(work.ReasonDeadline)))
+	start(t, x)
+	g.Expect(ask(x, "5000").Header().Get(headerOutcome)).To(gomega.Equal("run"))
+	g.Expect(one.count.Load()).To(gomega.Equal(int32(1)), "the one that was refused is not run")
+}
--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -44,6 +45,9 @@
 	req  *work.Request
 	body []byte
 	done chan *work.Response
+	// taken is set by the worker that runs the job, or by the handler that gave
+	// up waiting for one.
+	taken atomic.Bool
 }
 
 // Proxy is one entry.
@@ -127,7 +131,9 @@
 	for {
 		select {
 		case j := <-x.queue:
-			j.done <- x.run(j)
+			if j.taken.CompareAndSwap(false, true) {
+				j.done <- x.run(j)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -142,6 +148,14 @@
 	default:
 		return work.Refuse(work.ReasonQueueFull, time.Second)
 	}
+	select {
+	case r := <-j.done:
+		return r
+	case <-ctx.Done():
+	}
+	if j.taken.CompareAndSwap(false, true) {
+		return work.Refuse(work.ReasonDeadline, time.Second)
+	}
 	return <-j.done
 }
 
