--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -98,7 +98,10 @@
 }
 
 func newFleet(t testing.TB, regions int, seed int64) *fleet {
-	top := testTopology(regions)
+	return newFleetOn(t, testTopology(regions), seed)
+}
+
+func newFleetOn(t testing.TB, top *settings.Topology, seed int64) *fleet {
 	f := &fleet{
 		t:        t,
 		top:      top,
