--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,7 +37,8 @@
 	SendControl(to string, msg control.Message)
 	// Do runs a request at a peer. When the request provably never reached the
 	// peer the outcome is NotRun with ReasonPeerUnreachable; when the answer
-	// was lost it is Unknown.
+	// was lost it is Unknown. A body that replay could not keep is read only
+	// when the peer's handler reads it.
 	Do(ctx context.Context, to string, role Role, req *work.Request) *work.Response
 	// GiveKeys hands idempotency keys to a peer and returns when it has them.
 	GiveKeys(ctx context.Context, to string, value []byte) error
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/pki"
+	"sycamoreledge.example/internal/replay"
 	"sycamoreledge.example/internal/work"
 )
 
@@ -71,14 +72,11 @@
 	codeUnwanted quic.ApplicationErrorCode = 3
 )
 
-// holdBytes is the size above which a body is sent only when the peer reads it,
-// so that a refusal leaves it whole for another peer. Smaller ones are kept by
-// the sender for that.
-const holdBytes = 256 << 10
-
-// holds reports whether the body of a request waits for the peer.
+// holds reports whether the body of a request waits until the peer reads it, so
+// that a refusal leaves it whole for another peer. Smaller bodies are kept by the
+// sender for that.
 func holds(body io.Reader, length int64) bool {
-	return body != nil && (length < 0 || length > holdBytes)
+	return body != nil && (length < 0 || length > replay.Limit)
 }
 
 // Error is the class of errors of this package.
--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/peer"
+	"sycamoreledge.example/internal/replay"
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/traffic"
 	"sycamoreledge.example/internal/traffic/owner"
@@ -248,8 +249,9 @@
 	}
 	sent := *req
 	sent.Sender = w.self
-	if req.Body != nil {
-		// The transport sends the body without waiting for the answer.
+	if held := req.Length < 0 || req.Length > replay.Limit; req.Body != nil && !held {
+		// The transport sends a small body without waiting for the answer, and
+		// a large one when the peer reads it.
 		data, err := io.ReadAll(req.Body)
 		if err != nil {
 			return work.Uncertain(work.ReasonPeerBroken)
--- a/internal/traffic/owner/pool.go
+++ b/internal/traffic/owner/pool.go
@@ -25,8 +25,6 @@
 	retries budget
 	hedges  budget
 	scratch []time.Duration // for slowLimit
-	// reserved are the slots held for requests on their way, by request.
-	reserved map[string]*reservation
 }
 
 // cachedPolicy is the policy of the pool's service in one preset.
@@ -36,7 +34,7 @@
 }
 
 func newPool(o *Owner, id work.PoolID, kind work.Kind, declared []settings.Upstream) *pool {
-	p := &pool{owner: o, id: id, kind: kind, waiting: list.New(), reserved: make(map[string]*reservation)}
+	p := &pool{owner: o, id: id, kind: kind, waiting: list.New()}
 	for _, u := range declared {
 		r := newRow(u)
 		r.changed = p.changed
--- a/internal/traffic/owner/serve.go
+++ b/internal/traffic/owner/serve.go
@@ -44,12 +44,9 @@
 	var last *work.Response
 	var avoid *row
 	for attempt := 1; ; attempt++ {
-		s := p.redeem(req.ID)
-		if s == nil {
-			var refusal *work.Response
-			if s, refusal = p.admit(ctx, req, avoid); refusal != nil {
-				return worse(last, refusal)
-			}
+		s, refusal := p.admit(ctx, req, avoid)
+		if refusal != nil {
+			return worse(last, refusal)
 		}
 		avoid = s.row
 		resp := p.run(ctx, s, req, body)
--- a/internal/traffic/owner/stream_test.go
+++ b/internal/traffic/owner/stream_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/onsi/gomega"
 
-	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/settings"
 	"sycamoreledge.example/internal/traffic/owner"
 	"sycamoreledge.example/internal/upstream"
@@ -91,30 +90,3 @@
 	_, err := io.Copy(io.Discard, r)
 	return err
 }
-
-func TestReservations(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		b := newBench(work.Upload, 1, 1)
-		first, second := b.request(2*time.Second), b.request(2*time.Second)
-		second.Queue = false
-		g.Expect(b.owner.Reserve(t.Context(), first)).To(gomega.BeNil())
-		g.Expect(b.owner.Holds(first)).To(gomega.BeTrue())
-		g.Expect(b.owner.Reserve(t.Context(), second).Reason).To(gomega.Equal(work.ReasonQueueFull))
-		g.Expect(b.owner.Serve(t.Context(), second).Reason).To(gomega.Equal(work.ReasonQueueFull))
-		g.Expect(b.owner.Serve(t.Context(), first).Outcome).To(gomega.Equal(work.Run))
-		g.Expect(b.owner.InFlight(b.pool)).To(gomega.BeZero())
-		// Asked twice, as after a lost answer, and then never used.
-		g.Expect(b.owner.Reserve(t.Context(), second)).To(gomega.BeNil())
-		g.Expect(b.owner.InFlight(b.pool)).To(gomega.Equal(1))
-		<-time.After(time.Second)
-		g.Expect(b.owner.Holds(second)).To(gomega.BeFalse())
-		g.Expect(b.owner.InFlight(b.pool)).To(gomega.BeZero())
-		// The right to dispatch is lost between the two.
-		g.Expect(b.owner.Reserve(t.Context(), first)).To(gomega.BeNil())
-		b.set(func(s *control.Snapshot) { s.Owned = nil })
-		g.Expect(b.owner.Serve(t.Context(), first).Reason).To(gomega.Equal(work.ReasonNotOwner))
-		g.Expect(b.upstreams.runs()).To(gomega.Equal(1))
-		g.Expect(b.owner.InFlight(b.pool)).To(gomega.BeZero())
-	})
-}
--- a/internal/traffic/router.go
+++ b/internal/traffic/router.go
@@ -19,16 +19,6 @@
 	Serve(ctx context.Context, req *work.Request) *work.Response
 }
 
-// Reserver holds slots for requests whose bodies are on their way; Pools may
-// implement it.
-type Reserver interface {
-	// Reserve admits a request and holds its slot for a short time, or returns
-	// the refusal.
-	Reserve(ctx context.Context, req *work.Request) *work.Response
-	// Holds reports whether a slot is held for the request.
-	Holds(req *work.Request) bool
-}
-
 // Options are what a Router needs.
 type Options struct {
 	// Snapshot returns the latest view of the control tables, never nil.
@@ -98,7 +88,7 @@
 	if svc == nil {
 		return work.Refuse(work.ReasonUnknownService, 0)
 	}
-	if req.Method == pingMethod || req.Method == askMethod {
+	if req.Method == pingMethod {
 		return work.Refuse(work.ReasonBadRequest, 0)
 	}
 	snap := r.snapshot()
@@ -143,15 +133,8 @@
 	own := *req
 	own.Kind = svc.kind
 	own.Origin = zone
-	reserver, _ := r.pools.(Reserver)
-	if reserver != nil && own.Method != askMethod && reserver.Holds(&own) {
-		return r.pools.Serve(ctx, &own)
-	}
 	if refusal := r.inbound.admit(r.snapshot(), &own); refusal != nil {
 		return refusal
 	}
-	if own.Method == askMethod {
-		return reserve(ctx, reserver, &own)
-	}
 	return r.pools.Serve(ctx, &own)
 }
--- a/internal/traffic/router_test.go
+++ b/internal/traffic/router_test.go
@@ -264,8 +264,8 @@
 	})
 }
 
-// A long body is sent only to a pool that holds a slot for it: refusals on the
-// way leave it whole.
+// A long body is sent only to a pool that has a slot for it: refusals on the way
+// leave it whole.
 func TestLongBodiesSurviveRefusals(t *testing.T) {
 	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
 		answers := make(chan *work.Response, 60)
--- a/internal/traffic/send.go
+++ b/internal/traffic/send.go
@@ -37,11 +37,6 @@
 	if !t.router.answers(ctx, name, r) {
 		return work.Refuse(work.ReasonPeerUnreachable, 0)
 	}
-	if t.bulk() {
-		if refusal := t.reserve(ctx, name, req); refusal != nil {
-			return refusal
-		}
-	}
 	sent := time.Now()
 	if !req.Kind.Idempotent() {
 		resp := t.router.peers.Do(ctx, name, peer.RolePool, req)
