--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -219,6 +219,7 @@
 		Topology:      e.bundle.Topology,
 		Upstreams:     e.upstreams,
 		ProbeInterval: s.Traffic.ProbeInterval,
+		Notify:        e.logUpstream,
 	})
 	e.loop.load = e.owner.Load
 	e.router = traffic.New(traffic.Options{
@@ -227,6 +228,7 @@
 		Self:     e.identity.Instance,
 		Pools:    e.owner,
 		Peers:    e.links,
+		Notify:   e.logShift,
 	})
 	issuer, err := idempotency.NewIssuer(e.identity, s.Traffic.KeyLifetime, secrets(e.bundle.Keys))
 	if err != nil {
--- a/internal/event/usage_test.go
+++ b/internal/event/usage_test.go
@@ -102,3 +102,33 @@
 		}
 	}
 }
+
+// TestEveryEventIsUsed finds events of the catalogue that the product never
+// logs.
+func TestEveryEventIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	used := map[string]bool{}
+	files := token.NewFileSet()
+	err := filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(files, path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			if s, ok := n.(*ast.SelectorExpr); ok {
+				if pkg, ok := s.X.(*ast.Ident); ok && pkg.Name == "event" {
+					used[snakeCase(s.Sel.Name)] = true
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, d := range event.Catalogue() {
+		g.Expect(used).To(gomega.HaveKey(d.Name), "event %d", d.ID)
+	}
+}
