--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -192,68 +193,33 @@
 		if now.Add(r.roundTrip).After(t.req.Deadline) {
 			continue
 		}
-		if !t.router.shifts.allow(now, t.policy, r.region) {
-			t.note(r, "", string(work.ReasonShiftCap))
-			t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
-			continue
-		}
-		t.asks++
-		t.router.stats.Shifted.Add(1)
-		if resp := t.ask(ctx, r, false); resp != nil {
+		if resp := t.askOther(ctx, r, now); resp != nil {
 			return resp
 		}
 	}
 	return nil
 }
 
-// nearestFar is the nearest pool of another region, or nil.
-func (t *trip) nearestFar() *route {
-	for _, r := range t.service.routes {
-		if r.tier == otherRegion && t.reachable(r) {
-			return r
-		}
-	}
-	return nil
-}
-
-// reachable reports whether the pool has an owner and takes work.
-func (t *trip) reachable(r *route) bool {
-	view := t.snap.Pools[r.pool]
-	return view != nil && len(view.Owners) > 0 && !t.snap.DrainedZones[r.pool.Zone]
-}
-
-// empty reports whether another instance lately said that no upstream of the
-// pool takes work. Asking it all the same would send it the body, which can't
-// be sent again once it is longer than the replay buffer.
-func (t *trip) empty(r *route) bool {
-	for _, o := range t.snap.Pools[r.pool].Owners {
-		if o.Instance == t.router.self || o.Slots > 0 || time.Since(o.At) > loadMaxAge {
-			return false
+// askOther asks a pool of another region. One that did not take the last request
+// is asked by one request at a time.
+func (t *trip) askOther(ctx context.Context, r *route, now time.Time) *work.Response {
+	if !r.open.Load() {
+		if !r.asking.CompareAndSwap(false, true) {
+			t.note(r, "", "another request asks")
+			t.refuse(work.Refuse(work.ReasonShiftCap, r.roundTrip))
+			t.wait = cmp.Or(t.wait, r.roundTrip)
+			return nil
 		}
+		defer r.asking.Store(false)
 	}
-	return true
-}
-
-// mayBeFree reports whether the pool may have a slot for this zone, by its last
-// known load and refusals.
-func (t *trip) mayBeFree(r *route) bool {
-	now := time.Now()
-	if now.UnixNano() < r.full.Load() {
-		return false
-	}
-	view := t.snap.Pools[r.pool]
-	if view == nil {
-		return false
-	}
-	for _, o := range view.Owners {
-		if now.Sub(o.At) > loadMaxAge {
-			return true
-		}
-		if float64(o.Busy) < float64(o.Slots)*(1-t.snap.Preset.Headroom) || r.tier != otherRegion {
-			return true
-		}
+	if !t.router.shifts.allow(now, t.policy, r.region) {
+		t.note(r, "", string(work.ReasonShiftCap))
+		t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
+		return nil
 	}
-	return false
+	t.asks++
+	t.router.stats.Shifted.Add(1)
+	return t.ask(ctx, r, false)
 }
 
 // ask sends the request to the owners of the pool in turn. It returns nil when
