--- a/internal/lab/firm/firm_test.go
+++ b/internal/lab/firm/firm_test.go
@@ -133,3 +133,22 @@
 		})
 	}
 }
+
+func TestEveryZoneMayBeDrainedOnAnOrdinaryDay(t *testing.T) {
+	for _, want := range sizes {
+		f, err := firm.Load(filepath.Join(deploy, want.dir))
+		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+		for _, preset := range f.Presets {
+			if preset.Name != "ordinary" && preset.Name != "peak" {
+				// The others drain zones of their own.
+				continue
+			}
+			for _, zone := range firm.Zones(&f.Topology) {
+				t.Run(want.dir+"/"+preset.Name+"/"+zone, func(t *testing.T) {
+					drains := []settings.Drain{{Kind: settings.DrainZone, Name: zone}}
+					gomega.NewWithT(t).Expect(settings.CheckPreset(&f.Topology, &preset, drains)).To(gomega.Succeed())
+				})
+			}
+		}
+	}
+}
