Read the cause of a connection's end after it is set

A connection whose accept loops ended before quic-go had set the cause was taken for a success with cause nil: the pauses before the next dials began anew at 25 to 50 ms, although the peer had refused this instance. The loops' end now waits for the end of the connection's context.

TestRefusingPeerIsDialedAfterGrowingPauses asked whether one more request fell into the last pause, so its verdict also hung on how soon that request was scheduled. It is replaced by a lower bound, which holds at any speed: seven handshakes are at least as far apart as the sum of the shortest pauses, 1.275 s, of which the last is half a second.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -100,6 +100,8 @@
 	loops.Go(c.acceptDatagrams)
 	loops.Go(c.acceptControl)
 	loops.Wait()
+	// The loops may see the end of the connection before its cause is set.
+	<-c.quic.Context().Done()
 	cause := context.Cause(c.quic.Context())
 	if c.dialed {
 		c.settle(cause)
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/quic-go/quic-go"
@@ -66,10 +67,13 @@
 }
 
 // TestRefusingPeerIsDialedAfterGrowingPauses sends requests to a peer that
-// refuses this instance after each handshake, until the pause is at least half
-// a second long.
+// refuses this instance after each handshake. The handshakes are as far apart
+// as the pauses, however slow the machine is: the last pause is at least half a
+// second long.
 func TestRefusingPeerIsDialedAfterGrowingPauses(t *testing.T) {
-	const handshakes = 6
+	// The pauses between the handshakes are at least 25, 50, 100, 200, 400 and
+	// 500 ms long.
+	const handshakes, pauses = 7, 1275 * time.Millisecond
 	g := gomega.NewWithT(t)
 	f := makeQUICFixture(t)
 	config := f.config("b", 1, handler{serve: echo})
@@ -80,14 +84,12 @@
 		resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
 		g.Expect(resp).To(gomega.Equal(work.Refuse(work.ReasonPeerUnreachable, 0)))
 	}
+	began := time.Now()
 	g.Eventually(func() uint64 {
 		request()
-		return a.Stats().Events[peer.Disconnected]
+		return a.Stats().Events[peer.Connected]
 	}, testTimeout).Should(gomega.BeNumerically(">=", handshakes))
-	g.Eventually(func() int { return a.Stats().Connections }, testTimeout).Should(gomega.BeZero())
-	connected := a.Stats().Events[peer.Connected]
-	request()
-	g.Expect(a.Stats().Events[peer.Connected]).To(gomega.Equal(connected))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", pauses))
 }
 
 // TestPeerThatHangsUpHoldsNobodyUp runs requests against a peer that closes
