List the records of a zone at a start in one call

Cause: each starting instance read the records of all others of its zone, which grows with the square of the zone: 74,400 reads when a fleet of 2,400 starts at once. Change: records stand under their zone, and one list gives them: 2,400 lists. The figures are computed from the calls of one start, not measured.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -32,7 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	former, incarnation, err := instances.Start(ctx, e.platform, e.self.Name, e.identity.Incarnation)
+	former, incarnation, err := instances.Start(ctx, e.platform, e.recordName(), e.identity.Incarnation)
 	if err != nil {
 		e.events.Log(event.PlatformAbsent, "address", e.bundle.Settings.Platform.Address, "error", err)
 		for _, name := range e.zoneInstances() {
@@ -42,20 +42,31 @@
 	}
 	e.identity.Incarnation = incarnation
 	e.noteUnclean(e.self.Name, former)
+	e.noteMates(ctx)
+}
+
+// noteMates remembers the runs of the zone's other instances. When they cannot
+// be read, any run may be unclean.
+func (e *entry) noteMates(ctx context.Context) {
+	zone, err := instances.Zone(ctx, e.platform, e.bundle.Topology.ZoneOf(e.self.Name))
 	for _, mate := range e.zoneInstances() {
-		if mate == e.self.Name {
-			continue
-		}
-		last, former, err := instances.Runs(ctx, e.platform, mate)
-		if err != nil {
+		switch {
+		case mate == e.self.Name:
+		case err != nil:
 			e.unclean = append(e.unclean, control.Identity{Instance: mate})
-			continue
+		default:
+			for _, run := range zone[mate] {
+				e.noteUnclean(mate, run)
+			}
 		}
-		e.noteUnclean(mate, last)
-		e.noteUnclean(mate, former)
 	}
 }
 
+// recordName is the name of this instance's record on the platform.
+func (e *entry) recordName() string {
+	return instances.Name(e.bundle.Topology.ZoneOf(e.self.Name), e.self.Name)
+}
+
 // noteUnclean remembers a run that is not known to have stopped cleanly.
 func (e *entry) noteUnclean(name string, run instances.Run) {
 	if run.Incarnation > 0 && !run.Clean {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -174,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	if err := instances.Stop(ctx, e.platform, e.identity.Instance, e.identity.Incarnation); err != nil {
+	if err := instances.Stop(ctx, e.platform, e.recordName(), e.identity.Incarnation); err != nil {
 		e.events.Log(event.PlatformUnreachable, "error", err)
 	}
 }
@@ -183,9 +183,9 @@
 func (e *entry) registerLater(ctx context.Context) {
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, registerTimeout)
-		last, _, err := instances.Runs(bounded, e.platform, e.identity.Instance)
+		last, err := instances.Last(bounded, e.platform, e.recordName())
 		if err == nil && last.Incarnation < e.identity.Incarnation {
-			_, _, err = instances.Start(bounded, e.platform, e.identity.Instance, e.identity.Incarnation)
+			_, _, err = instances.Start(bounded, e.platform, e.recordName(), e.identity.Incarnation)
 		}
 		cancel()
 		if err == nil {
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -47,7 +48,13 @@
 	retryMax = 500 * time.Millisecond
 )
 
-func key(name string) string { return "instances/" + name }
+const prefix = "instances/"
+
+func key(name string) string { return prefix + name }
+
+// Name returns the name of the record of an instance: those of a zone stand
+// together, so that one call lists them.
+func Name(zone, instance string) string { return zone + "/" + instance }
 
 // Start records a new run of an instance. It returns the former run, which is
 // zero when there was none, and the incarnation of the new one: the proposed
@@ -97,12 +104,30 @@
 	}
 }
 
-// Runs returns the last run of an instance and the one before it, which are
-// zero when there was none.
-func Runs(ctx context.Context, client platform.Client, name string) (last, former Run, err error) {
+// Last returns the last run under a name, which is zero when there was none.
+func Last(ctx context.Context, client platform.Client, name string) (Run, error) {
 	u := &updater{client: client, name: name}
 	r, err := u.read(ctx)
-	return r.Last, r.Former, err
+	return r.Last, err
+}
+
+// Zone returns the last two runs of each instance of a zone, by instance, the
+// newer first.
+func Zone(ctx context.Context, client platform.Client, zone string) (map[string][]Run, error) {
+	objs, err := client.List(ctx, key(Name(zone, "")))
+	if err != nil {
+		return nil, err
+	}
+	runs := map[string][]Run{}
+	for _, obj := range objs {
+		var r record
+		if err := json.Unmarshal(obj.Value, &r); err != nil {
+			return nil, Corrupt.New("%s: %w", obj.Key, err)
+		}
+		instance := strings.TrimPrefix(obj.Key, key(Name(zone, "")))
+		runs[instance] = []Run{r.Last, r.Former}
+	}
+	return runs, nil
 }
 
 // updater reads and writes one record until it succeeds.
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -94,3 +94,25 @@
 		g.Expect([]uint64{<-started, <-started}).To(gomega.ConsistOf(uint64(5), uint64(6)))
 	})
 }
+
+func TestZoneListsTheLastTwoRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := platform.NewMemory()
+	for _, start := range []struct {
+		zone, instance string
+		incarnation    uint64
+	}{{"a", "e1", 1}, {"a", "e1", 2}, {"a", "e2", 3}, {"ab", "e3", 4}} {
+		_, _, err := instances.Start(t.Context(), memory, instances.Name(start.zone, start.instance), start.incarnation)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(instances.Stop(t.Context(), memory, instances.Name("a", "e2"), 3)).To(gomega.Succeed())
+	zone, err := instances.Zone(t.Context(), memory, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(zone).To(gomega.Equal(map[string][]instances.Run{
+		"e1": {{Incarnation: 2}, {Incarnation: 1}},
+		"e2": {{Incarnation: 3, Clean: true}, {}},
+	}))
+	memory.SetFaults(platform.Faults{Down: true})
+	_, err = instances.Zone(t.Context(), memory, "a")
+	g.Expect(err).To(gomega.HaveOccurred())
+}
