Give the peer tests timeouts that a busy machine does not miss

On a busy machine dialing took over the default second, and cases of TestContract that are not about timeouts got not-run or peer_unreachable; one then read a nil body. Outcomes are checked before bodies and channels are read. Expected outcomes are unchanged.

Ruled out: deadlines of 100 ms on a connection that stands already; a starved process misses these too.

--- a/internal/peer/contract_cut_test.go
+++ b/internal/peer/contract_cut_test.go
@@ -26,6 +26,7 @@
 }
 
 func testCutBefore(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(peer.Timing{Dial: shortTimeout, Idle: testTimeout})
 	a := serve(n, echo)
 	cutBoth(n, "a", "b")
 	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1))
@@ -33,6 +34,7 @@
 }
 
 func testCutWhileRunning(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	a, started, ended := hold(n)
 	go func() {
 		<-started
@@ -44,6 +46,7 @@
 }
 
 func testLostAnswer(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	ran := make(chan struct{}, 1)
 	a := serve(n, func(context.Context, peer.Role, *work.Request) *work.Response {
 		n.cutOneWay("b", "a")
@@ -56,12 +59,14 @@
 }
 
 func testCutResponseBody(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	reader, writer := io.Pipe()
 	a := serve(n, func(context.Context, peer.Role, *work.Request) *work.Response {
 		return &work.Response{Outcome: work.Run, Status: 200, Length: -1, Body: reader}
 	})
 	go func() { _, _ = writer.Write([]byte("begin")) }()
 	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(nil, 0))
+	g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "reason %s", resp.Reason)
 	_, err := io.ReadFull(resp.Body, make([]byte, 5))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	cutBoth(n, "a", "b")
@@ -74,6 +79,7 @@
 }
 
 func testCutRequestBody(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	begun, readErr := make(chan struct{}, 1), make(chan error, 1)
 	a := serve(n, func(_ context.Context, _ peer.Role, req *work.Request) *work.Response {
 		_, _ = io.ReadFull(req.Body, make([]byte, 5))
@@ -97,6 +103,7 @@
 }
 
 func testHeal(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(peer.Timing{Dial: shortTimeout, Idle: testTimeout})
 	a := serve(n, echo)
 	cutBoth(n, "a", "b")
 	resp := a.Do(context.Background(), "b", peer.RolePool, lookup(strings.NewReader("x"), 1))
@@ -108,6 +115,7 @@
 }
 
 func testRestart(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	a, started, ended := hold(n)
 	restarted := make(chan struct{})
 	go func() {
@@ -142,6 +150,7 @@
 }
 
 func testRefusedKeys(_ *testing.T, g gomega.Gomega, n network) {
+	n.setTiming(noticing)
 	n.start("b", 1, handler{keys: func(context.Context, control.Identity, []byte) error { return errBody }})
 	a := n.start("a", 1, handler{})
 	err := a.GiveKeys(context.Background(), "b", []byte("x"))
