--- a/internal/lab/baseline/baseline_test.go
+++ b/internal/lab/baseline/baseline_test.go
@@ -195,3 +195,15 @@
 	g.Expect(ask(x, "5000").Header().Get(headerOutcome)).To(gomega.Equal("run"))
 	g.Expect(one.count.Load()).To(gomega.Equal(int32(1)), "the one that was refused is not run")
 }
+
+func TestReportsAreNotTrustedAfterARoundOfRefusals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := newBack(t), newBack(t)
+	one.load.Store(`{"busy":1,"slots":1}`)
+	two.shed.Store(true)
+	x := newProxy(t, work.Order, one, two)
+	x.pools["s"].look(t.Context(), http.DefaultClient, x.pools["s"].members[0])
+	start(t, x)
+	g.Expect(ask(x, "5000").Header().Get(headerUpstream)).To(gomega.Equal("0"))
+	g.Expect(two.count.Load()).To(gomega.BeNumerically(">=", 2), "the first round asked the other one alone")
+}
--- a/internal/lab/baseline/pool.go
+++ b/internal/lab/baseline/pool.go
@@ -32,9 +32,10 @@
 	next    int
 }
 
-// choose returns the next upstream in turn that is live and not reported full.
-// When all live ones are reported full it returns the next live one.
-func (p *pool) choose() (upstream.Target, bool) {
+// choose returns the next upstream in turn that is live and, where the reports
+// are trusted, not reported full. When all live ones are reported full it returns
+// the next live one.
+func (p *pool) choose(trust bool) (upstream.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fallback *member
@@ -44,7 +45,7 @@
 		if !m.live {
 			continue
 		}
-		if !m.full {
+		if !m.full || !trust {
 			return m.target, true
 		}
 		if fallback == nil {
--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -165,10 +165,10 @@
 	if p.live() == 0 {
 		p = x.far[j.req.Service]
 	}
-	broken, wait := 0, shedPause
+	broken, wait, trust := 0, shedPause, true
 	for j.ctx.Err() == nil {
 		for range max(1, p.live()) {
-			target, ok := p.choose()
+			target, ok := p.choose(trust)
 			if !ok {
 				return work.Refuse(work.ReasonNoUpstream, time.Second)
 			}
@@ -183,6 +183,8 @@
 				}
 			}
 		}
+		// All that were not reported full refused: the reports are stale.
+		trust = false
 		pause(j.ctx, wait)
 		wait = min(2*wait, maxShedPause)
 	}
