Wait for answers on their way to peers before a planned stop ends

Cause, found by reading: a leaving owner waited for its upstreams only; an answer to a peer that was still being sent when the transport closed would have been cut. Change: answers with a body count until the body is closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 	keys      *pki.Source
 	loop      *loop
 	node      *peer.Node
+	handler   *peerHandler
 	upstreams *upstream.Client
 	owner     *owner.Owner
 	links     *link.Transport
@@ -186,6 +187,7 @@
 }
 
 func (e *entry) buildPeers() error {
+	e.handler = &peerHandler{entry: e}
 	peers := map[string]string{}
 	for _, inst := range e.bundle.Topology.Instances() {
 		peers[inst.Name] = e.mapped(inst.Peers)
@@ -197,7 +199,7 @@
 		Listen:      e.self.Peers,
 		Peers:       peers,
 		Keys:        e.keys,
-		Handler:     &peerHandler{entry: e},
+		Handler:     e.handler,
 		Events:      e.logPeer,
 	})
 	if err != nil {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sycamoreledge.example/internal/claims"
@@ -13,15 +16,39 @@
 )
 
 // peerHandler serves what other instances send.
-type peerHandler struct{ entry *entry }
+type peerHandler struct {
+	entry *entry
+	// active counts requests of peers whose answers are not sent yet.
+	active atomic.Int64
+}
 
 // HandleControl implements peer.Handler.
 func (h *peerHandler) HandleControl(msg control.Message) { h.entry.loop.Receive(msg) }
 
 // ServeWork implements peer.Handler.
 func (h *peerHandler) ServeWork(ctx context.Context, role peer.Role, req *work.Request) *work.Response {
-	resp := h.serve(ctx, role, req)
-	return h.entry.links.Answer(ctx, req.Sender, resp)
+	h.active.Add(1)
+	resp := h.entry.links.Answer(ctx, req.Sender, h.serve(ctx, role, req))
+	if resp.Body == nil {
+		h.active.Add(-1)
+		return resp
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, active: &h.active}
+	return resp
+}
+
+// countedBody is the body of an answer to a peer. The answer counts as active
+// until the body is closed, after it was sent.
+type countedBody struct {
+	io.ReadCloser
+	active *atomic.Int64
+	once   sync.Once
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	b.once.Do(func() { b.active.Add(-1) })
+	return b.ReadCloser.Close()
 }
 
 func (h *peerHandler) serve(ctx context.Context, role peer.Role, req *work.Request) *work.Response {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -143,13 +143,13 @@
 	return longest
 }
 
-// awaitIdle waits until no request is in flight at an upstream and returns how
-// many were left at the end of the context.
+// awaitIdle waits until no request is in flight at an upstream and no answer on
+// its way to a peer, and returns how many were left at the end of the context.
 func (e *entry) awaitIdle(ctx context.Context) int {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		busy := 0
+		busy := int(e.handler.active.Load())
 		for _, status := range e.owner.Load() {
 			busy += status.Busy
 		}
