Log the lease that an instance was silent for

Cause: the event of a failed instance named the lease of the settings, which is shorter than the one in use in fleets with zones above 10 instances. Change: the core tells its own lease with the event. Nothing else was tried. Measured: go test ./internal/control ./internal/entry passes.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -123,7 +123,12 @@
 		}
 		m.failed = true
 		if m.heard {
-			c.emit(Event{Kind: EventMemberFailed, Instance: c.ix.instances[i].Name, Zone: c.zoneName(i)})
+			c.emit(Event{
+				Kind:     EventMemberFailed,
+				Instance: c.ix.instances[i].Name,
+				Zone:     c.zoneName(i),
+				Duration: c.timing.Lease,
+			})
 		}
 		if c.ix.instances[i].zone == c.zone && m.heard {
 			c.blockPoolsOf(i, m.heardAt)
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -19,7 +19,7 @@
 	case control.EventMemberUp:
 		e.events.Log(event.MemberJoined, "instance", ev.Instance, "zone", e.bundle.Topology.ZoneOf(ev.Instance))
 	case control.EventMemberFailed:
-		e.events.Log(event.MemberFailed, "instance", ev.Instance, "zone", ev.Zone, "silent", e.bundle.Settings.Control.Lease)
+		e.events.Log(event.MemberFailed, "instance", ev.Instance, "zone", ev.Zone, "silent", ev.Duration)
 	case control.EventMemberState:
 		e.logMemberState(ev)
 	case control.EventPoolOwned:
