--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -51,6 +51,8 @@
 	configSentAt  time.Time
 	configAskedAt time.Time
 
+	// joinedAt is when the present incarnation was first known.
+	joinedAt time.Time
 	// contact is set where heartbeats flow between the instance and this one.
 	contact bool
 }
@@ -105,6 +107,7 @@
 		changedAt:   m.changedAt,
 		loadedAt:    m.loadedAt,
 		contact:     m.contact,
+		joinedAt:    c.now,
 	}
 }
 
@@ -202,6 +205,7 @@
 	if h.SentAt > m.releasedAt {
 		c.setOwned(from, h.Owned)
 	}
+	c.noteLoads(m, h)
 	if h.EchoOf == c.identity.Incarnation {
 		c.noteEcho(m, h)
 	}
@@ -248,6 +252,7 @@
 	c.spread.nextHeartbeat = c.now.Add(c.timing.Heartbeat)
 	sentAt := c.monotonic()
 	owned, claimed := c.ownedIndexes(), c.claimedIndexes()
+	loads := c.loadsOf(owned)
 	for i := range c.members {
 		if !c.wantsHeartbeat(i) {
 			continue
@@ -261,6 +266,7 @@
 			ConfigVersion: c.config.Version,
 			Grants:        c.grantsTo(i),
 			Owned:         owned,
+			Loads:         loads,
 			Claimed:       claimed,
 		}})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,11 +73,31 @@
 		return
 	}
 	defer events.Close(logDrain)
-	id := event.SettingsInvalid
+	file := path
+	var fault *settings.FileError
+	if errors.As(err, &fault) {
+		file = fault.File
+	}
+	events.Log(loadFailureID(path, file, err), "file", file, "error", err)
+}
+
+// loadFailureID tells the files apart by what the settings, if they can be read
+// by themselves, name.
+func loadFailureID(path, file string, err error) event.ID {
 	if errors.Is(err, os.ErrNotExist) {
-		id = event.SettingsMissing
+		return event.SettingsMissing
+	}
+	s, loadErr := settings.Load(path)
+	switch {
+	case loadErr != nil:
+		return event.SettingsInvalid
+	case file == s.KeySecret:
+		return event.KeySecretInvalid
+	case file == s.Operators:
+		return event.OperatorsInvalid
+	default:
+		return event.SettingsInvalid
 	}
-	events.Log(id, "file", path, "error", err)
 }
 
 // entry holds the parts of a running instance.
@@ -94,6 +114,7 @@
 	keys      *pki.Source
 	loop      *loop
 	node      *peer.Node
+	handler   *peerHandler
 	upstreams *upstream.Client
 	owner     *owner.Owner
 	links     *link.Transport
@@ -104,6 +125,8 @@
 	operators *api.Operators
 	ranker    *locate.Ranker
 	leave     chan struct{}
+	// drains are those that the log reported last.
+	drains []settings.Drain
 }
 
 // build makes all parts, in the order in which they need each other, and opens
@@ -123,9 +146,12 @@
 		return Error.Wrap(err)
 	}
 	e.warnExpiry()
-	e.platform = &watchedPlatform{
-		Client: platform.NewHTTPClient(e.mapped(s.Platform.Address), s.Platform.Timeout),
+	e.platform = &platformCalls{
+		client: platform.NewHTTPClient(e.mapped(s.Platform.Address), s.Platform.Timeout),
 		events: e.events,
+		count: func(call, result string, elapsed time.Duration) {
+			e.metrics.PlatformCall(call, result, elapsed)
+		},
 	}
 	e.register(ctx)
 	e.buildControl()
@@ -161,6 +187,7 @@
 }
 
 func (e *entry) buildPeers() error {
+	e.handler = &peerHandler{entry: e}
 	peers := map[string]string{}
 	for _, inst := range e.bundle.Topology.Instances() {
 		peers[inst.Name] = e.mapped(inst.Peers)
@@ -172,7 +199,7 @@
 		Listen:      e.self.Peers,
 		Peers:       peers,
 		Keys:        e.keys,
-		Handler:     &peerHandler{entry: e},
+		Handler:     e.handler,
 		Events:      e.logPeer,
 	})
 	if err != nil {
@@ -194,6 +221,7 @@
 		Topology:      e.bundle.Topology,
 		Upstreams:     e.upstreams,
 		ProbeInterval: s.Traffic.ProbeInterval,
+		Notify:        e.logUpstream,
 	})
 	e.loop.load = e.owner.Load
 	e.router = traffic.New(traffic.Options{
@@ -202,6 +230,7 @@
 		Self:     e.identity.Instance,
 		Pools:    e.owner,
 		Peers:    e.links,
+		Notify:   e.logShift,
 	})
 	issuer, err := idempotency.NewIssuer(e.identity, s.Traffic.KeyLifetime, secrets(e.bundle.Keys))
 	if err != nil {
@@ -213,7 +242,7 @@
 		Snapshot: e.loop.Snapshot,
 		Peers:    e.links,
 		Run:      e.router.Serve,
-		Claimer:  &claimer{claims.New(e.platform, e.identity, claims.Config{Lifetime: s.Traffic.KeyLifetime})},
+		Claimer:  &claimer{claims: claims.New(e.platform, e.identity, claims.Config{Lifetime: s.Traffic.KeyLifetime}), events: e.events},
 		MaxKeys:  s.Traffic.MaxKeys,
 		MaxBytes: s.Traffic.MaxKeyBytes,
 	})
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -143,13 +143,13 @@
 	return longest
 }
 
-// awaitIdle waits until no request is in flight at an upstream and returns how
-// many were left at the end of the context.
+// awaitIdle waits until no request is in flight at an upstream and no answer on
+// its way to a peer, and returns how many were left at the end of the context.
 func (e *entry) awaitIdle(ctx context.Context) int {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		busy := 0
+		busy := int(e.handler.active.Load())
 		for _, status := range e.owner.Load() {
 			busy += status.Busy
 		}
@@ -174,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	if err := instances.Stop(ctx, e.platform, e.identity.Instance, e.identity.Incarnation); err != nil {
+	if err := instances.Stop(ctx, e.platform, e.recordName(), e.identity.Incarnation); err != nil {
 		e.events.Log(event.PlatformUnreachable, "error", err)
 	}
 }
@@ -183,9 +183,9 @@
 func (e *entry) registerLater(ctx context.Context) {
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, registerTimeout)
-		last, _, err := instances.Runs(bounded, e.platform, e.identity.Instance)
+		last, err := instances.Last(bounded, e.platform, e.recordName())
 		if err == nil && last.Incarnation < e.identity.Incarnation {
-			_, _, err = instances.Start(bounded, e.platform, e.identity.Instance, e.identity.Incarnation)
+			_, _, err = instances.Start(bounded, e.platform, e.recordName(), e.identity.Incarnation)
 		}
 		cancel()
 		if err == nil {
@@ -195,18 +195,28 @@
 	}
 }
 
-// logReady reports when the instance takes part for the first time.
+// logReady reports when callers may use the instance, and when not.
 func (e *entry) logReady(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for e.ready() != nil {
+	ready := false
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		err := e.ready()
+		if ready == (err == nil) {
+			continue
+		}
+		ready = err == nil
+		if ready {
+			e.events.Log(event.Ready, "instance", e.identity.Instance, "after", time.Since(e.began))
+		} else {
+			e.events.Log(event.NotReady, "instance", e.identity.Instance, "reason", err)
+		}
 	}
-	e.events.Log(event.Ready, "instance", e.identity.Instance, "after", time.Since(e.began))
 }
 
 // close ends what is open, after a failed start as after a stop.
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -8,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"sycamoreledge.example/internal/pki"
+	"sycamoreledge.example/internal/replay"
 	"sycamoreledge.example/internal/work"
 )
 
@@ -70,6 +72,13 @@
 	codeUnwanted quic.ApplicationErrorCode = 3
 )
 
+// holds reports whether the body of a request waits until the peer reads it, so
+// that a refusal leaves it whole for another peer. Smaller bodies are kept by the
+// sender for that.
+func holds(body io.Reader, length int64) bool {
+	return body != nil && (length < 0 || length > replay.Limit)
+}
+
 // Error is the class of errors of this package.
 var Error = errs.Class("peer")
 
@@ -98,6 +107,8 @@
 	Pool      work.PoolID         `cbor:"13,keyasint"`
 	Origin    string              `cbor:"14,keyasint,omitempty"`
 	Queue     bool                `cbor:"15,keyasint,omitempty"`
+	// Hold says that the body follows only after frameContinue.
+	Hold bool `cbor:"16,keyasint,omitempty"`
 }
 
 // responseHead opens a response.
@@ -202,6 +213,7 @@
 	if req.Body != nil {
 		head.HasBody = true
 		head.Length = req.Length
+		head.Hold = holds(req.Body, req.Length)
 	}
 	return head
 }
--- a/internal/traffic/router_test.go
+++ b/internal/traffic/router_test.go
@@ -230,3 +230,64 @@
 		})
 	}
 }
+
+func TestUploadsLeaveARegionWithoutUpstreams(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() {
+			f.leaving = map[string]bool{}
+			for _, name := range []string{"z1-u0", "z1-u1", "z2-u0", "z2-u1"} {
+				f.leaving[name] = true
+			}
+		})
+		<-time.After(2 * time.Second)
+		for range 5 {
+			req := f.request(5 * time.Second)
+			req.Body = strings.NewReader(strings.Repeat("x", 2*replay.Limit))
+			req.Length = 2 * replay.Limit
+			resp := f.routers["i1"].Serve(t.Context(), req)
+			g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "%s %s", resp.Reason, resp.Explain)
+			<-time.After(time.Second)
+		}
+		g.Expect(f.runsIn("z3", "z4")).To(gomega.Equal(5))
+	}, func() *fleet { return newFleet(work.Upload, 2, 3, 1) })
+}
+
+func TestTheCapIsNamedWhereNoUpstreamIsNear(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		f.set(func() { f.leaving = map[string]bool{"z1-u0": true, "z2-u0": true} })
+		<-time.After(2 * time.Second)
+		g.Expect(send(t, f, "i1", 3, time.Second)).To(gomega.Equal(map[work.Reason]int{work.ReasonShiftCap: 3}))
+	}, func() *fleet {
+		f := newFleet(work.Order, 1, 3, 1)
+		f.preset.Services[0].ShiftRate = 0
+		return f
+	})
+}
+
+// A long body is sent only to a pool that has a slot for it: refusals on the way
+// leave it whole.
+func TestLongBodiesSurviveRefusals(t *testing.T) {
+	inFleet(t, func(t *testing.T, g *gomega.WithT, f *fleet) {
+		answers := make(chan *work.Response, 60)
+		for range 60 {
+			req := f.request(5 * time.Second)
+			req.Body = strings.NewReader(strings.Repeat("x", 2*replay.Limit))
+			req.Length = 2 * replay.Limit
+			go func() { answers <- f.routers["i1"].Serve(t.Context(), req) }()
+			<-time.After(2 * time.Millisecond)
+		}
+		for range 60 {
+			resp := <-answers
+			g.Expect(resp.Outcome).To(gomega.Equal(work.Run), "%s %s", resp.Reason, resp.Explain)
+		}
+		for _, b := range f.backends {
+			g.Expect(b.most).To(gomega.BeNumerically("<=", 3))
+		}
+		<-time.After(time.Second)
+		for _, o := range f.owners {
+			for _, row := range o.Load() {
+				g.Expect(row.Busy).To(gomega.BeZero())
+			}
+		}
+	}, func() *fleet { return newFleet(work.Upload, 1, 3, 1) })
+}
--- a/internal/traffic/service.go
+++ b/internal/traffic/service.go
@@ -32,6 +32,12 @@
 	// full is until when the pool is taken to have no free slot, in Unix
 	// nanoseconds: it refused a moment ago.
 	full atomic.Int64
+	// wait is what the last refusal expected, in nanoseconds.
+	wait atomic.Int64
+	// open is set while the pool takes what it is sent; until then one request at
+	// a time is sent there, which asking marks.
+	open   atomic.Bool
+	asking atomic.Bool
 	// refusals counts the refusals since the pool last ran a request.
 	refusals atomic.Int64
 }
@@ -41,12 +47,14 @@
 	// pool of another region is left alone for a round trip, and for twice as
 	// long after each further refusal.
 	fullPause    = 5 * time.Millisecond
-	maxFullPause = time.Second
-	maxDoublings = 6
+	maxFullPause = 2 * time.Second
+	maxDoublings = 5
 )
 
 // refused notes that the pool has no free slot.
-func (r *route) refused(now time.Time) {
+func (r *route) refused(now time.Time, wait time.Duration) {
+	r.wait.Store(int64(wait))
+	r.open.Store(false)
 	pause := fullPause
 	if r.tier == otherRegion {
 		n := min(r.refusals.Add(1)-1, maxDoublings)
@@ -57,6 +65,7 @@
 
 // ran notes that the pool ran a request.
 func (r *route) ran() {
+	r.open.Store(true)
 	if r.refusals.Load() != 0 {
 		r.refusals.Store(0)
 	}
--- a/internal/traffic/trip.go
+++ b/internal/traffic/trip.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -24,12 +25,17 @@
 	// which rounds may start.
 	roundPause  = 25 * time.Millisecond
 	maxPatience = time.Second
+	// drainedPatience is the time for rounds of a drained zone, while its
+	// neighbour expects a wait below shortWait.
+	drainedPatience = 300 * time.Millisecond
+	shortWait       = 100 * time.Millisecond
 	// maxExplain bounds the explanation, in bytes.
 	maxExplain = 1 << 10
 	// minAdvice is the advice for a later try when nothing better is known.
 	minAdvice = 100 * time.Millisecond
-	// overdue is how long after its deadline the answer of a peer is awaited.
-	overdue = 20 * time.Millisecond
+	// overdue is how long after its deadline the answer of a peer is awaited,
+	// beside the travel time between regions.
+	overdue = 50 * time.Millisecond
 	// maxShiftAsks bounds the pools of other regions that are asked.
 	maxShiftAsks = 3
 )
@@ -51,27 +57,43 @@
 	// wait is the shortest wait that a refusing pool of the region expects.
 	wait time.Duration
 	asks int
+	// drained is set when the own zone is drained, so that nothing queues there.
+	drained bool
 	// unowned is set when a pool of the region had no owner in this round.
 	unowned bool
 }
 
-// run asks the candidates in turn until one runs the request. While a pool of
-// the region has no owner, such as between two, it tries again.
+// run asks the candidates in turn until one runs the request. While the own
+// zone's pool has no owner, such as between two, it tries again, and for a short
+// time also while the zone is drained and the neighbour's slots are taken.
 func (t *trip) run(ctx context.Context) *work.Response {
-	patience := time.Now().Add(min(maxPatience, time.Until(t.req.Deadline)/2))
+	start := time.Now()
 	for {
 		if resp := t.round(ctx); resp != nil {
 			return resp
 		}
-		if !t.unowned || !t.body.Replayable() || time.Now().After(patience) || !t.pause(ctx) {
+		patience := min(t.patience(), t.req.Deadline.Sub(start)/2)
+		if !t.body.Replayable() || time.Since(start) >= patience || !t.pause(ctx) {
 			return t.last()
 		}
 	}
 }
 
+// patience is how long further rounds may start.
+func (t *trip) patience() time.Duration {
+	switch {
+	case t.unowned:
+		return maxPatience
+	case t.drained && t.wait > 0 && t.wait < shortWait:
+		return drainedPatience
+	default:
+		return 0
+	}
+}
+
 // round asks the candidates once.
 func (t *trip) round(ctx context.Context) *work.Response {
-	t.unowned, t.wait, t.refusal = false, 0, nil
+	t.unowned, t.drained, t.wait, t.refusal = false, false, 0, nil
 	stages := []func(context.Context) *work.Response{t.askRegion, t.askFar, t.queue, t.askFarAtLast}
 	for _, stage := range stages {
 		if resp := stage(ctx); resp != nil {
@@ -117,6 +139,7 @@
 		}
 		if r.tier == ownRegion && !t.mayBeFree(r) {
 			t.note(r, "", "no free slot known")
+			t.full(r)
 			continue
 		}
 		if resp := t.ask(ctx, r, false); resp != nil {
@@ -170,56 +193,33 @@
 		if now.Add(r.roundTrip).After(t.req.Deadline) {
 			continue
 		}
-		if !t.router.shifts.allow(now, t.policy, r.region) {
-			t.note(r, "", string(work.ReasonShiftCap))
-			t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
-			continue
-		}
-		t.asks++
-		t.router.stats.Shifted.Add(1)
-		if resp := t.ask(ctx, r, false); resp != nil {
+		if resp := t.askOther(ctx, r, now); resp != nil {
 			return resp
 		}
 	}
 	return nil
 }
 
-// nearestFar is the nearest pool of another region, or nil.
-func (t *trip) nearestFar() *route {
-	for _, r := range t.service.routes {
-		if r.tier == otherRegion && t.reachable(r) {
-			return r
+// askOther asks a pool of another region. One that did not take the last request
+// is asked by one request at a time.
+func (t *trip) askOther(ctx context.Context, r *route, now time.Time) *work.Response {
+	if !r.open.Load() {
+		if !r.asking.CompareAndSwap(false, true) {
+			t.note(r, "", "another request asks")
+			t.refuse(work.Refuse(work.ReasonShiftCap, r.roundTrip))
+			t.wait = cmp.Or(t.wait, r.roundTrip)
+			return nil
 		}
+		defer r.asking.Store(false)
 	}
-	return nil
-}
-
-// reachable reports whether the pool has an owner and takes work.
-func (t *trip) reachable(r *route) bool {
-	view := t.snap.Pools[r.pool]
-	return view != nil && len(view.Owners) > 0 && !t.snap.DrainedZones[r.pool.Zone]
-}
-
-// mayBeFree reports whether the pool may have a slot for this zone, by its last
-// known load and refusals.
-func (t *trip) mayBeFree(r *route) bool {
-	now := time.Now()
-	if now.UnixNano() < r.full.Load() {
-		return false
-	}
-	view := t.snap.Pools[r.pool]
-	if view == nil {
-		return false
-	}
-	for _, o := range view.Owners {
-		if now.Sub(o.At) > loadMaxAge {
-			return true
-		}
-		if float64(o.Busy) < float64(o.Slots)*(1-t.snap.Preset.Headroom) || r.tier != otherRegion {
-			return true
-		}
+	if !t.router.shifts.allow(now, t.policy, r.region) {
+		t.note(r, "", string(work.ReasonShiftCap))
+		t.refuse(work.Refuse(work.ReasonShiftCap, minAdvice))
+		return nil
 	}
-	return false
+	t.asks++
+	t.router.stats.Shifted.Add(1)
+	return t.ask(ctx, r, false)
 }
 
 // ask sends the request to the owners of the pool in turn. It returns nil when
@@ -227,7 +227,15 @@
 func (t *trip) ask(ctx context.Context, r *route, queue bool) *work.Response {
 	if !t.reachable(r) {
 		t.note(r, "", "drained or without owner")
-		t.unowned = t.unowned || r.tier == ownZone && !t.snap.DrainedZones[r.pool.Zone]
+		if r.tier == ownZone {
+			t.drained = t.snap.DrainedZones[r.pool.Zone]
+			t.unowned = t.unowned || !t.drained
+		}
+		return nil
+	}
+	if t.empty(r) {
+		t.note(r, "", "no upstream takes work")
+		t.refuse(work.Refuse(work.ReasonNoUpstream, minAdvice))
 		return nil
 	}
 	for _, name := range t.owners(r) {
@@ -309,16 +317,32 @@
 	default:
 		return
 	}
-	r.refused(time.Now())
-	if r.tier != otherRegion && (t.wait == 0 || resp.RetryAfter < t.wait) {
-		t.wait = resp.RetryAfter
+	r.refused(time.Now(), resp.RetryAfter)
+	t.expect(r, resp.RetryAfter)
+}
+
+// expect notes the wait that a refusing pool of the region expects.
+func (t *trip) expect(r *route, wait time.Duration) {
+	if r.tier != otherRegion && (t.wait == 0 || wait < t.wait) {
+		t.wait = wait
+	}
+}
+
+// full takes the last refusal of a pool, a moment ago, for that of this request.
+func (t *trip) full(r *route) {
+	wait := time.Duration(r.wait.Load())
+	if wait == 0 || !t.reachable(r) {
+		return
 	}
+	t.refuse(work.Refuse(work.ReasonHeadroom, wait))
+	t.expect(r, wait)
 }
 
 // refuse keeps the refusal that the caller gets if nothing runs the request: the
-// first one of the nearest pool, with the shortest advice.
+// first one of the nearest pool that has upstreams, or the cap that kept the
+// request from going there, with the shortest advice.
 func (t *trip) refuse(resp *work.Response) {
-	if t.refusal == nil {
+	if t.refusal == nil || t.refusal.Reason == work.ReasonNoUpstream && resp.Reason != work.ReasonNoUpstream {
 		t.refusal = resp
 		return
 	}
@@ -334,27 +358,3 @@
 	}
 	return t.last()
 }
-
-// note adds a step to the explanation.
-func (t *trip) note(r *route, owner, what string) {
-	if t.explain.Len() > maxExplain {
-		return
-	}
-	if t.explain.Len() > 0 {
-		t.explain.WriteString("; ")
-	}
-	t.explain.WriteString(r.name)
-	if owner != "" {
-		t.explain.WriteString(" via ")
-		t.explain.WriteString(owner)
-	}
-	t.explain.WriteString(": ")
-	t.explain.WriteString(what)
-}
-
-func verdict(resp *work.Response) string {
-	if resp.Outcome == work.Run {
-		return "run by " + resp.Upstream
-	}
-	return resp.Outcome.String() + " (" + string(resp.Reason) + ")"
-}
