Keep the slot of a cut attempt until the upstream can have noticed

Cause: a slot held after an attempt that was given up was freed by a probe that started right behind it. The test of streamed answers expected the slot at the same instant; it now expects it still taken then, and free 100 ms later.

Left: with two upstreams of one region slowed, shifts ramp up too slowly.

--- a/internal/traffic/owner/probe.go
+++ b/internal/traffic/owner/probe.go
@@ -13,6 +13,9 @@
 	// maxProbeLosses is how many probes in a row are lost before an upstream
 	// counts as down.
 	maxProbeLosses = 2
+	// cancelGrace is how long an upstream may take to notice that the
+	// connection of a request was closed and to end its work.
+	cancelGrace = 20 * time.Millisecond
 )
 
 // sweep refuses waiters of a lost pool, hands out slots that became free
@@ -59,11 +62,20 @@
 	r.probing = false
 	r.apply(health, err, start)
 	if err == nil && len(r.held) > 0 {
-		p.startProbe(r, may.now) // for slots held since
+		time.AfterFunc(cancelGrace, func() { p.probeAgain(r) })
 	}
 	p.pump(may)
 }
 
+// probeAgain starts a probe for slots that are still held.
+func (p *pool) probeAgain(r *row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(r.held) > 0 {
+		p.startProbe(r, time.Now())
+	}
+}
+
 // apply changes the row after a probe that started at the given time.
 func (r *row) apply(health upstream.Health, err error, start time.Time) {
 	if err != nil {
@@ -87,12 +99,12 @@
 	}
 }
 
-// freeHeld frees the slots that were held before an upstream answered a probe:
-// it has seen by then that their connections are closed.
+// freeHeld frees the slots that were held some time before a probe started that
+// the upstream answered: it has seen by then that their connections are closed.
 func (r *row) freeHeld(before time.Time) {
 	kept := r.held[:0]
 	for _, since := range r.held {
-		if since.After(before) {
+		if since.Add(cancelGrace).After(before) {
 			kept = append(kept, since)
 		}
 	}
--- a/internal/traffic/owner/stream_test.go
+++ b/internal/traffic/owner/stream_test.go
@@ -79,6 +79,12 @@
 				} else {
 					<-time.After(b.policy.DispatchTimeout)
 				}
+				// An attempt that was cut off keeps its slot for the grace that the
+				// upstream has to notice.
+				if c.err {
+					g.Expect(o.InFlight(b.pool)).To(gomega.Equal(1))
+				}
+				<-time.After(100 * time.Millisecond)
 				synctest.Wait()
 				g.Expect(o.InFlight(b.pool)).To(gomega.BeZero())
 			})
