Sum a zone's slots and find its region in one place

The load of the callers and the recorder of traces each had the same sum of a service's slots in a zone, and the firm its own search for a zone's region beside the topology's. One function each serves now; behaviour is the same.

--- a/internal/lab/caller/loads.go
+++ b/internal/lab/caller/loads.go
@@ -34,7 +34,7 @@
 func StandardLoads(p *firm.Plan, preset *settings.Preset, zone string, shares Shares) []Load {
 	var loads []Load
 	for _, service := range p.Topology.Services {
-		slots := zoneSlots(&service, zone)
+		slots := firm.ZoneSlots(&service, zone)
 		mean := MeanTime(p.World.ServiceTimeOf(service.Name), service.Kind)
 		rate := shares[service.Kind] * float64(slots) / mean.Seconds()
 		if rate <= 0 {
@@ -79,20 +79,6 @@
 	return time.Duration(mean)
 }
 
-// zoneSlots sums the slots of a service in a zone.
-func zoneSlots(s *settings.Service, zone string) int {
-	n := 0
-	for _, pool := range s.Pools {
-		if pool.Zone != zone {
-			continue
-		}
-		for _, u := range pool.Upstreams {
-			n += u.Slots
-		}
-	}
-	return n
-}
-
 // deadline is the one that the preset gives to a service.
 func deadline(p *settings.Preset, service string) time.Duration {
 	for _, s := range p.Services {
--- a/internal/lab/firm/firm.go
+++ b/internal/lab/firm/firm.go
@@ -120,15 +120,20 @@
 }
 
 // RegionOf returns the region of an availability zone, or "".
-func RegionOf(t *settings.Topology, zone string) string {
-	for _, region := range t.Regions {
-		for _, z := range region.Zones {
-			if z.Name == zone {
-				return region.Name
-			}
+func RegionOf(t *settings.Topology, zone string) string { return t.RegionOf(zone) }
+
+// ZoneSlots sums the slots of a service in an availability zone.
+func ZoneSlots(s *settings.Service, zone string) int {
+	n := 0
+	for _, pool := range s.Pools {
+		if pool.Zone != zone {
+			continue
+		}
+		for _, u := range pool.Upstreams {
+			n += u.Slots
 		}
 	}
-	return ""
+	return n
 }
 
 // Latency returns the one-way latency between two availability zones.
--- a/internal/lab/trace/record.go
+++ b/internal/lab/trace/record.go
@@ -89,7 +89,7 @@
 	for i, service := range f.Topology.Services {
 		mean := Mean(&f.World, &service, g)
 		for j, zone := range firm.Zones(&f.Topology) {
-			rate := g.Shares[service.Kind] * float64(slots(&service, zone)) / mean.Seconds()
+			rate := g.Shares[service.Kind] * float64(firm.ZoneSlots(&service, zone)) / mean.Seconds()
 			if rate > 0 {
 				all = append(all, source{i, j, rate})
 				total += rate
@@ -111,20 +111,6 @@
 	return mean
 }
 
-// slots sums the slots of a service in a zone.
-func slots(s *settings.Service, zone string) int {
-	n := 0
-	for _, pool := range s.Pools {
-		if pool.Zone != zone {
-			continue
-		}
-		for _, u := range pool.Upstreams {
-			n += u.Slots
-		}
-	}
-	return n
-}
-
 // pick returns the source in which the point lies.
 func pick(sources []source, point float64) source {
 	for _, s := range sources {
