Wait by platform.Pause in the planned stop

The entry had its own wait for a time or the end of a context beside the platform package's. Behaviour is the same; the tests of the entry pass, the linter finds nothing.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,6 +7,7 @@
 	"sycamoreledge.example/internal/control"
 	"sycamoreledge.example/internal/event"
 	"sycamoreledge.example/internal/instances"
+	"sycamoreledge.example/internal/platform"
 )
 
 const (
@@ -57,7 +58,7 @@
 // finishes what is in flight, gives up its pools and says that it left.
 func (e *entry) stop(ctx context.Context) {
 	e.loop.Do(func(c *control.Core) { c.Leave() })
-	pause(ctx, e.listedFor())
+	_ = platform.Pause(ctx, e.listedFor())
 	e.handOver(ctx)
 	longest := e.longestDeadline()
 	bounded, cancel := context.WithTimeout(ctx, longest)
@@ -69,7 +70,7 @@
 		e.events.Log(event.StopForced, "reason", "deadline", "busy", cut+busy)
 	}
 	e.loop.Do(func(c *control.Core) { c.Finish() })
-	pause(ctx, farewell)
+	_ = platform.Pause(ctx, farewell)
 	if cut+busy == 0 {
 		e.recordStop(ctx)
 	}
@@ -85,16 +86,6 @@
 	return control.RemoteTimeout(e.bundle.Topology, timing) + timing.MaxAge
 }
 
-// pause waits for a time or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // handOver gives the idempotency keys to an instance of the zone, or of the
 // region where the zone has no other.
 func (e *entry) handOver(ctx context.Context) {
@@ -191,7 +182,7 @@
 		if err == nil {
 			return
 		}
-		pause(ctx, registerPause)
+		_ = platform.Pause(ctx, registerPause)
 	}
 }
 
