Keep the log of changes when the platform drops its history

After 20 quiet seconds the watcher's question is too old, so it reads all objects again, and its log for peers began anew there.

A peer that knew the state before gets those alone.

The new test fails on the code before.

--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -45,16 +45,41 @@
 // NewChangeLog returns a log that knows nothing.
 func NewChangeLog() *ChangeLog { return &ChangeLog{base: -1, latest: -1} }
 
-// Restart begins the log anew with all objects as of a revision, since what
-// changed before it is not known.
-func (l *ChangeLog) Restart(objects []platform.Object, revision int64) {
+// Replace brings the log to all objects as of a revision. What it held before
+// stays: the differences follow as one more batch, so that peers need not read
+// all objects whenever the platform has dropped the history of a quiet topic.
+func (l *ChangeLog) Replace(objects []platform.Object, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.base, l.latest, l.batches, l.size = revision, revision, nil, 0
-	l.objects = make(map[string]platform.Object, len(objects))
+	present := make(map[string]platform.Object, len(objects))
 	for _, o := range objects {
-		l.objects[o.Key] = o
+		present[o.Key] = o
 	}
+	if l.base < 0 || revision < l.latest {
+		l.base, l.latest, l.batches, l.size = revision, revision, nil, 0
+		l.objects = present
+		return
+	}
+	if changes := differences(l.objects, present); len(changes) > 0 {
+		l.add(changes, revision)
+	}
+	l.objects, l.latest = present, revision
+}
+
+// differences returns what turns one set of objects into another.
+func differences(from, to map[string]platform.Object) []platform.Change {
+	var changes []platform.Change
+	for key, o := range from {
+		if _, ok := to[key]; !ok {
+			changes = append(changes, platform.Change{Object: o, Deleted: true})
+		}
+	}
+	for key, o := range to {
+		if known, ok := from[key]; !ok || known.Version != o.Version {
+			changes = append(changes, platform.Change{Object: o})
+		}
+	}
+	return changes
 }
 
 // Append adds what changed up to a revision.
@@ -71,9 +96,14 @@
 			l.objects[c.Object.Key] = c.Object
 		}
 	}
-	l.batches = append(l.batches, batch{revision, slices.Clone(changes)})
-	l.size += len(changes)
+	l.add(slices.Clone(changes), revision)
 	l.latest = revision
+}
+
+// add appends a batch and drops the oldest beyond the bound.
+func (l *ChangeLog) add(changes []platform.Change, revision int64) {
+	l.batches = append(l.batches, batch{revision, changes})
+	l.size += len(changes)
 	for l.size > maxLogged && len(l.batches) > 1 {
 		l.base = l.batches[0].revision
 		l.size -= len(l.batches[0].changes)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -157,7 +157,7 @@
 	l := NewChangeLog()
 	_, ok := l.Since(0)
 	g.Expect(ok).To(gomega.BeFalse(), "before the first snapshot")
-	l.Restart([]platform.Object{object("a", 3), object("b", 4)}, 10)
+	l.Replace([]platform.Object{object("a", 3), object("b", 4)}, 10)
 	l.Append([]platform.Change{{Object: object("c", 12)}}, 12)
 	l.Append([]platform.Change{{Object: object("a", 3), Deleted: true}}, 15)
 	l.Append([]platform.Change{{Object: object("x", 1)}}, 14)
@@ -182,6 +182,32 @@
 	g.Expect(news.Changes).To(gomega.HaveLen(3))
 }
 
+func TestChangeLogSurvivesDroppedHistory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := NewChangeLog()
+	l.Replace([]platform.Object{object("a", 3), object("b", 4), object("c", 5)}, 10)
+	l.Append([]platform.Change{{Object: object("d", 12)}}, 12)
+	// The platform has dropped the history: a is gone, b was written anew, e is new.
+	l.Replace([]platform.Object{object("b", 20), object("c", 5), object("d", 12), object("e", 21)}, 30)
+
+	news, ok := l.Since(12)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(news.Full).To(gomega.BeFalse(), "a peer that knew all needs the differences only")
+	g.Expect(news.Revision).To(gomega.Equal(int64(30)))
+	g.Expect(news.Changes).To(gomega.ConsistOf(
+		platform.Change{Object: object("a", 3), Deleted: true},
+		platform.Change{Object: object("b", 20)}, platform.Change{Object: object("e", 21)}))
+	l.Replace([]platform.Object{object("b", 20), object("c", 5), object("d", 12), object("e", 21)}, 40)
+	news, _ = l.Since(30)
+	g.Expect(news).To(gomega.Equal(News{Revision: 40, Changes: []platform.Change{}}), "nothing changed")
+	news, _ = l.Since(10)
+	g.Expect(news.Changes).To(gomega.HaveLen(4), "the log still reaches back")
+	l.Replace([]platform.Object{object("a", 3)}, 7)
+	news, _ = l.Since(1)
+	g.Expect(news.Full).To(gomega.BeTrue(), "a platform that went back begins a new log")
+	g.Expect(news.Changes).To(gomega.HaveLen(1))
+}
+
 func TestNewsFromPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	teller := registration("a", "n1")
@@ -197,7 +223,7 @@
 	table.Register(time.Now(), teller)
 	_, err = asker.Ask(context.Background(), "a", TopicUpstreams, 1)
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("503")))
-	told.Logs[TopicUpstreams].Restart([]platform.Object{object("u", 2)}, 5)
+	told.Logs[TopicUpstreams].Replace([]platform.Object{object("u", 2)}, 5)
 	news, err := asker.Ask(context.Background(), "a", TopicUpstreams, 1)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(news.Full).To(gomega.BeTrue())
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -94,7 +94,7 @@
 		Feed: &sharedFeed{Feed: i.store, instance: i, topic: topic}, Kind: kind,
 		OnSnapshot: func(objects []store.Object, revision int64) {
 			snapshot(objects, revision)
-			i.news.Logs[topic].Restart(objects, revision)
+			i.news.Logs[topic].Replace(objects, revision)
 			i.read(topic, revision)
 		},
 		OnChanges: func(list []store.Change, revision int64) {
