Send nothing before the drained zones are known

Change: until all three were read, requests are refused as not run with a time to come back. Readiness and the directory said so before; callers that know the address did not care.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,9 @@
 	Events  *event.Logger
 	// Metrics counts requests; nil counts nothing.
 	Metrics *metrics.Metrics
+	// Ready reports whether the core knows all that decides where requests may go;
+	// nil means that it always does.
+	Ready func() bool
 	// BodyMemory bounds the bodies that are held at once, in bytes; 0 does not.
 	BodyMemory int64
 }
@@ -60,8 +63,8 @@
 	// defaultPatience is for callers that do not say how long they wait and routes
 	// without a timeout.
 	defaultPatience = 30 * time.Second
-	// notReadyWait is when callers may come back to an instance that has no
-	// configuration yet.
+	// notReadyWait is when callers may come back to an instance that is starting:
+	// it has read all it needs within some 300 ms.
 	notReadyWait = 500 * time.Millisecond
 )
 
@@ -74,7 +77,9 @@
 	}
 	t := &trip{gateway: g, w: w, r: r, arrived: time.Now(), caller: g.Dialect.Caller(r.Header)}
 	table := g.Core.Table()
-	if table == nil {
+	// An upstream that is known may be in a zone that is being drained, which is
+	// not known yet.
+	if table == nil || g.Ready != nil && !g.Ready() {
 		t.refuse(http.StatusServiceUnavailable, work.ReasonNotReady, notReadyWait)
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -214,6 +215,23 @@
 	g.Expect(recorder.Code).To(gomega.Equal(503), "without a configuration nothing is said to be missing")
 }
 
+func TestStartingInstanceSendsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, ran(200, "x"))
+	var ready atomic.Bool
+	// Upstreams and configuration are known, drained zones are not.
+	b.gate.Ready = ready.Load
+	resp, _ := b.call(t, http.MethodGet, "/lookup/1", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(503))
+	g.Expect(resp.Header.Get("Back-In")).NotTo(gomega.BeEmpty())
+	resp, _ = b.call(t, http.MethodGet, "/none/1", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(503))
+	g.Expect(b.sender.attempts).To(gomega.BeEmpty())
+	ready.Store(true)
+	resp, _ = b.call(t, http.MethodGet, "/lookup/1", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(200))
+}
+
 func TestBodyAndTargetGoOutUnchanged(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, ran(200, "x"))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -149,6 +149,7 @@
 	}
 	i.gateway = gateway.New(gateway.Options{
 		Core: i.core, Sender: i.exchange, Dialect: platform.Headers{}, Events: events, Metrics: i.metrics,
+		Ready:      func() bool { return i.currentState() != fleet.Starting },
 		BodyMemory: int64(math.Round(bodyShare * float64(place.MemoryBytes))),
 	})
 	i.table = fleet.NewTable()
