--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -176,7 +176,7 @@
 	found := false
 	usable := c.usableOf(now, r, svc)
 	if r.Object != "" && r.Route.Sticky {
-		usable = c.homes(objectKey(r), usable)
+		usable = c.homes(objectKey(r), r.Route.Kind, usable)
 	}
 	// An object that this instance has not sent anywhere is taken to be known at its
 	// first home, where the other instances send it.
@@ -184,7 +184,9 @@
 	for i, u := range usable {
 		cand := c.evaluate(now, r, state, u, !sent && i == 0)
 		cand.excess = c.excess(now, r, cand)
-		if !found || cand.cost < best.cost {
+		// A home with room is better than a refusal, whatever it costs.
+		full, bestFull := cand.excess > 0, best.excess > 0
+		if !found || bestFull && !full || bestFull == full && cand.cost < best.cost {
 			best, found = cand, true
 		}
 	}
--- a/internal/steering/regions.go
+++ b/internal/steering/regions.go
@@ -10,6 +10,10 @@
 	// are averaged: well below the 2 s between which a shift is bounded, and above.
 	quickRegions = 700 * time.Millisecond
 	slowRegions  = 3 * time.Second
+	// leastCounted is how many requests of late a region's share is known by at least.
+	// With 15 its standard error is 0.13; with fewer, instances that each act on
+	// their own error choose different homes for an object.
+	leastCounted = 15
 	// shiftPart is the part of the bound of a shift by which a region's share may
 	// run ahead before the other home of an object is preferred.
 	shiftPart = 0.5
@@ -42,7 +46,7 @@
 // ahead is by how much the share of a region has grown of late.
 func (r *regions) ahead(region string) float64 {
 	quick, slow := total(r.quick), total(r.slow)
-	if quick < 1 || slow < 1 {
+	if quick < leastCounted || slow < leastCounted {
 		return 0
 	}
 	return r.quick[region]/quick - r.slow[region]/slow
