Read the upstreams again after an outage instead of asking for each

Cause: found in a review of errors that are dropped. No later reading removed the upstream, since the follower goes on with changes: it got requests until the history was dropped.

Change: one reading of all upstreams is asked of the follower, which tries until it succeeds and logs each failure. For many lapsed upstreams it is one call instead of one for each.

Two waits of refusals got names.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -66,6 +66,7 @@
 	}
 	body, err := json.Marshal(news)
 	if err != nil {
+		// The peer logs the status and asks another one.
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sycamoreledge.example/internal/event"
@@ -29,6 +29,8 @@
 	// returned is when the last outage ended that was long enough for entries of
 	// living upstreams to lapse.
 	returned time.Time
+	// rereading is set while a reading of all upstreams is due after an outage.
+	rereading atomic.Bool
 }
 
 func (i *Instance) storeLost(kind string, err error) {
@@ -155,29 +157,25 @@
 }
 
 // dropUpstream forgets an upstream whose entry is gone. Right after an outage
-// of the store it waits whether the entry comes back.
+// of the store it waits whether the entry comes back: once the time for that is
+// over, all entries are read again, which is tried until it succeeds.
 func (i *Instance) dropUpstream(ctx context.Context, id string, revision int64) {
-	if wait := time.Until(i.lapseEnds()); wait > 0 {
-		go func() {
-			if store.Pause(ctx, wait) == nil {
-				i.confirmGone(ctx, id)
-			}
-		}()
+	wait := time.Until(i.lapseEnds())
+	if wait <= 0 {
+		i.removeUpstream(id, revision)
 		return
 	}
-	i.removeUpstream(id, revision)
-}
-
-// confirmGone drops an upstream unless its entry has come back.
-func (i *Instance) confirmGone(ctx context.Context, id string) {
-	objects, revision, err := i.store.Snapshot(ctx, platform.KindUpstreams)
-	if err != nil {
-		// The next snapshot after the outage decides.
+	if !i.reach.rereading.CompareAndSwap(false, true) {
 		return
 	}
-	if !slices.ContainsFunc(objects, func(o store.Object) bool { return o.Key == id }) {
-		i.removeUpstream(id, revision)
-	}
+	go func() {
+		err := store.Pause(ctx, wait)
+		// Reset first: what the reading finds may have to wait again.
+		i.reach.rereading.Store(false)
+		if err == nil {
+			i.watching.reread(fleet.TopicUpstreams)
+		}
+	}()
 }
 
 func (i *Instance) removeUpstream(id string, revision int64) {
--- a/internal/traffic/link/link.go
+++ b/internal/traffic/link/link.go
@@ -94,13 +94,17 @@
 	return resp
 }
 
+// noRateWait is when callers may come back to a link that carries nothing: a
+// changed configuration is in force within about a second.
+const noRateWait = time.Second
+
 // admit takes the bytes of the request without its body, or refuses when they,
 // or a body of known size, can't pass within the deadline.
 func (t *Transport) admit(region string, req *work.Request) *work.Response {
 	now := time.Now()
 	rate := t.share(region)
 	if rate <= 0 {
-		return work.Refuse(work.ReasonLinkCap, time.Second)
+		return work.Refuse(work.ReasonLinkCap, noRateWait)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/traffic/shift.go
+++ b/internal/traffic/shift.go
@@ -31,6 +31,10 @@
 	log   *shiftLog
 }
 
+// noShiftWait is when callers may come back to a shift that carries nothing: a
+// changed preset is in force within about a second.
+const noShiftWait = time.Second
+
 func newShifts(topology *settings.Topology, region string, notify func(Event)) *shifts {
 	return &shifts{
 		declared: max(topology.InstancesOfRegion(region), 1),
@@ -96,7 +100,7 @@
 	}
 	rate := policy.ShiftRate / float64(max(in.declared[from], 1))
 	if rate <= 0 {
-		return work.Refuse(work.ReasonShiftCap, time.Second)
+		return work.Refuse(work.ReasonShiftCap, noShiftWait)
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
