Keep look-ups of the directory from swallowing changes of members

Table.Peers returned the peers and, as a second result, those whose aliveness changed since its last call, and noted that they were told. Each directory look-up called it and dropped that result, so the lines instance_joined, instance_failed and instance_left of a change that a look-up saw first were never written. Peers now only reads; Changed is its own method, called by the one loop that logs. Decisions do not change: members were always taken from the first result.

The test asserts what it did, and that a look-up before leaves the change to be told; that part fails with the old Peers.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -68,6 +68,7 @@
 	// heard is when its last datagram arrived, since when it is in the table.
 	heard time.Time
 	since time.Time
+	// alive is what Changed told last.
 	alive bool
 }
 
@@ -150,27 +151,42 @@
 	Silent time.Duration
 }
 
-// Peers returns the peers by name, and those whose aliveness changed since the
-// last call.
-func (t *Table) Peers(now time.Time) (peers, changed []Peer) {
+// Peers returns the peers by name.
+func (t *Table) Peers(now time.Time) []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	peers := make([]Peer, 0, len(t.rows))
 	for _, r := range t.rows {
-		p := Peer{Registration: r.registration, Report: r.report, Silent: now.Sub(r.since)}
-		if !r.heard.IsZero() {
-			p.Silent = now.Sub(r.heard)
-			p.Alive = p.Silent <= silence*interval(len(t.rows))
-		} else {
-			p.Alive = now.Sub(r.since) <= introduction
-		}
-		if p.Alive != r.alive {
+		peers = append(peers, t.peer(now, r))
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
+	return peers
+}
+
+// Changed returns the peers whose aliveness changed since its last call.
+func (t *Table) Changed(now time.Time) []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []Peer
+	for _, r := range t.rows {
+		if p := t.peer(now, r); p.Alive != r.alive {
 			r.alive = p.Alive
 			changed = append(changed, p)
 		}
-		peers = append(peers, p)
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
-	return peers, changed
+	return changed
+}
+
+// peer is what readers see of a row.
+func (t *Table) peer(now time.Time, r *row) Peer {
+	p := Peer{Registration: r.registration, Report: r.report, Silent: now.Sub(r.since)}
+	if r.heard.IsZero() {
+		p.Alive = p.Silent <= introduction
+		return p
+	}
+	p.Silent = now.Sub(r.heard)
+	p.Alive = p.Silent <= silence*interval(len(t.rows))
+	return p
 }
 
 // Watchers returns the names of the instances that look for changes on the
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -300,8 +300,9 @@
 	ticker := time.NewTicker(fleet.Interval)
 	defer ticker.Stop()
 	for {
-		peers, changed := i.table.Peers(time.Now())
-		for _, p := range changed {
+		now := time.Now()
+		peers := i.table.Peers(now)
+		for _, p := range i.table.Changed(now) {
 			switch {
 			case p.Alive:
 				i.events.Log(event.MemberJoined, "instance", p.Name, "zone", p.Place.Zone, "incarnation", p.Incarnation)
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -132,8 +132,7 @@
 	if i.currentState() == fleet.Serving {
 		list = append(list, i.self)
 	}
-	peers, _ := i.table.Peers(now)
-	for _, p := range peers {
+	for _, p := range i.table.Peers(now) {
 		if p.Alive && p.State == fleet.Serving {
 			list = append(list, p.Registration)
 		}
