--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -103,11 +104,7 @@
 func (t *Table) Names() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make([]string, 0, len(t.rows))
-	for name := range t.rows {
-		names = append(names, name)
-	}
-	return names
+	return slices.Collect(maps.Keys(t.rows))
 }
 
 // Registration returns what a peer said of itself.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -75,15 +76,7 @@
 
 // Permits reports whether requests may be served in the region.
 func (r *Route) Permits(region string) bool {
-	if len(r.Regions) == 0 {
-		return true
-	}
-	for _, home := range r.Regions {
-		if home == region {
-			return true
-		}
-	}
-	return false
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
 // NewTable indexes routes by host.
@@ -118,17 +111,6 @@
 	return best
 }
 
-// Routes calls yield for each route until it returns false.
-func (t *Table) Routes(yield func(*Route) bool) {
-	for _, routes := range t.hosts {
-		for _, r := range routes {
-			if !yield(r) {
-				return
-			}
-		}
-	}
-}
-
 // canonicalHost lowers the name and drops the port.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -174,15 +174,15 @@
 func (c *Core) best(now time.Time, r *Request, state *routeState, svc *service) (candidate, bool) {
 	var best candidate
 	found := false
-	usable := c.usableOf(now, r, svc)
-	if r.Object != "" && r.Route.Sticky {
-		usable = c.homes(objectKey(r), r.Route.Kind, usable)
+	usable, object := c.usableOf(now, r, svc), objectKey(r)
+	if object != "" {
+		usable = c.homes(object, r.Route.Kind, usable)
 	}
 	// An object that this instance has not sent anywhere is taken to be known at its
 	// first home, where the other instances send it.
-	sent := slices.ContainsFunc(usable, func(u *upstream) bool { return u.remembers(now, objectKey(r)) })
+	sent := slices.ContainsFunc(usable, func(u *upstream) bool { return u.remembers(now, object) })
 	for i, u := range usable {
-		cand := c.evaluate(now, r, state, u, !sent && i == 0)
+		cand := c.evaluate(now, r, object, state, u, !sent && i == 0)
 		cand.excess = c.excess(now, r, cand)
 		// A home with room is better than a refusal, whatever it costs.
 		full, bestFull := cand.excess > 0, best.excess > 0
@@ -220,12 +220,12 @@
 
 // evaluate estimates what a request would meet at an upstream. Presumed is set
 // when others are taken to have made the object known there.
-func (c *Core) evaluate(now time.Time, r *Request, state *routeState, u *upstream, presumed bool) candidate {
+func (c *Core) evaluate(now time.Time, r *Request, object string, state *routeState, u *upstream, presumed bool) candidate {
 	target := r.Route.Target.Seconds()
 	fresh := seconds(state.fresh.or(freshGuess * target))
 	warm := seconds(state.warm.or(warmGuess * target))
 	cand := candidate{u: u, work: fresh, load: u.load(now), measured: state.fresh.known}
-	if r.Object != "" && r.Route.Sticky && u.remembers(now, objectKey(r)) {
+	if u.remembers(now, object) {
 		cand.warm, cand.work = true, warm
 	}
 	slow := u.slow(now)
@@ -246,8 +246,8 @@
 		bytes := float64(r.Bytes) + state.answer.or(0)
 		cand.cost += scale(transferCost, bytes)
 	}
-	if r.Object != "" && r.Route.Sticky {
-		cand.cost += scale(fresh, hashSpread*rank(objectKey(r), u.ID))
+	if object != "" {
+		cand.cost += scale(fresh, hashSpread*rank(object, u.ID))
 		if !cand.warm && !presumed {
 			cand.cost += scale(fresh-warm, displacement)
 			if cand.wait > 0 {
@@ -263,8 +263,14 @@
 	return cand
 }
 
-// objectKey tells objects of different routes apart.
-func objectKey(r *Request) string { return r.Route.Prefix + "\x00" + r.Object }
+// objectKey tells objects of different routes apart. It is empty when it does not
+// matter which upstream handled the object before.
+func objectKey(r *Request) string {
+	if r.Object == "" || !r.Route.Sticky {
+		return ""
+	}
+	return r.Route.Prefix + "\x00" + r.Object
+}
 
 // trip is the time on the way to an upstream and back.
 func (c *Core) trip(u *upstream) time.Duration {
@@ -283,10 +289,9 @@
 	u := best.u
 	t := &Ticket{
 		upstream: u, route: state, warm: best.warm, cold: u.isCold(now),
-		sent: now, expected: best.work + best.wait + best.trip,
+		sent: now, expected: best.work + best.wait + best.trip, object: objectKey(r),
 	}
-	if r.Route.Sticky && r.Object != "" {
-		t.object = objectKey(r)
+	if t.object != "" {
 		// Later requests for the object go the same way already now.
 		u.learn(now, t.object)
 	}
--- a/internal/steering/shares.go
+++ b/internal/steering/shares.go
@@ -28,10 +28,11 @@
 		sum += share.Weight
 	}
 	point := rank(object, r.Prefix) * sum
-	behind, most, preferred := "", 0.0, ""
+	behind, most := "", 0.0
+	var preferred routing.Share
 	for _, share := range r.Shares {
 		if point >= 0 && point < share.Weight {
-			preferred = share.Service
+			preferred = share
 		}
 		point -= share.Weight
 		lag := (s.total+1)*share.Weight/sum - s.given[share.Service]
@@ -40,16 +41,9 @@
 		}
 	}
 	chosen := behind
-	if object != "" && preferred != "" {
-		weight := 0.0
-		for _, share := range r.Shares {
-			if share.Service == preferred {
-				weight = share.Weight / sum
-			}
-		}
-		if s.given[preferred]+1 <= (s.total+1)*weight+shareTolerance*s.total+1 {
-			chosen = preferred
-		}
+	if object != "" && preferred.Service != "" &&
+		s.given[preferred.Service]+1 <= (s.total+1)*(preferred.Weight/sum)+shareTolerance*s.total+1 {
+		chosen = preferred.Service
 	}
 	s.given[chosen]++
 	s.total++
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -5,7 +5,9 @@
 package steering
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,12 +127,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.members = members
-	for _, m := range members {
-		if m.Name == c.config.Instance {
-			return
-		}
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.Name == c.config.Instance }) {
+		c.members = append(c.members, Member{Name: c.config.Instance, Place: c.config.Place})
 	}
-	c.members = append(c.members, Member{Name: c.config.Instance, Place: c.config.Place})
 }
 
 // SetUpstream adds an upstream, or takes over what it says now.
@@ -172,22 +171,13 @@
 func (c *Core) Upstreams() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := make([]string, 0, len(c.upstreams))
-	for id := range c.upstreams {
-		ids = append(ids, id)
-	}
-	return ids
+	return slices.Collect(maps.Keys(c.upstreams))
 }
 
 func (c *Core) remove(u *upstream) {
 	delete(c.upstreams, u.ID)
 	s := c.services[u.Service]
-	for i, other := range s.upstreams {
-		if other == u {
-			s.upstreams = append(s.upstreams[:i:i], s.upstreams[i+1:]...)
-			return
-		}
-	}
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(other *upstream) bool { return other == u })
 }
 
 func (c *Core) serviceOf(name string) *service {
@@ -231,11 +221,7 @@
 func (c *Core) Evacuated() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var zones []string
-	for zone := range c.evacuated {
-		zones = append(zones, zone)
-	}
-	return zones
+	return slices.Collect(maps.Keys(c.evacuated))
 }
 
 // Request is a request of a caller that is to be sent to an upstream.
