--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// readBuffer and writeBuffer hold an ordinary header, in bytes.
+	// readBuffer holds an ordinary header, in bytes.
 	readBuffer = 4 << 10
 	// maxIdle is how long an unused connection is kept when the upstream does not
 	// say how long it keeps it itself. Upstreams may drop connections sooner
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,17 +112,22 @@
 	f.Run(ctx)
 }
 
+// absent returns those of the keys that have no object.
+func absent(keys []string, objects []store.Object) []string {
+	present := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		present[o.Key] = true
+	}
+	return slices.DeleteFunc(keys, func(key string) bool { return present[key] })
+}
+
 func (i *Instance) followUpstreams(ctx context.Context) {
 	i.follow(ctx, fleet.TopicUpstreams, platform.KindUpstreams, func(objects []store.Object, revision int64) {
-		present := make(map[string]bool, len(objects))
 		for _, o := range objects {
-			present[o.Key] = true
 			i.takeUpstream(o)
 		}
-		for _, id := range i.core.Upstreams() {
-			if !present[id] {
-				i.dropUpstream(ctx, id, revision)
-			}
+		for _, id := range absent(i.core.Upstreams(), objects) {
+			i.dropUpstream(ctx, id, revision)
 		}
 		i.upstreamsRead(revision)
 	}, func(list []store.Change, revision int64) {
@@ -226,15 +232,11 @@
 		i.watching.reread(fleet.TopicUpstreams)
 	}
 	i.follow(ctx, fleet.TopicEvacuations, platform.KindEvacuations, func(objects []store.Object, revision int64) {
-		present := make(map[string]bool, len(objects))
 		for _, o := range objects {
-			present[o.Key] = true
 			begin(o.Key)
 		}
-		for _, zone := range i.core.Evacuated() {
-			if !present[zone] {
-				finish(zone, revision)
-			}
+		for _, zone := range absent(i.core.Evacuated(), objects) {
+			finish(zone, revision)
 		}
 		i.seen.mu.Lock()
 		i.seen.evacuations = true
@@ -274,15 +276,11 @@
 		}
 	}
 	i.follow(ctx, fleet.TopicInstances, kindInstances, func(objects []store.Object, _ int64) {
-		present := make(map[string]bool, len(objects))
 		for _, o := range objects {
-			present[o.Key] = true
 			take(o)
 		}
-		for _, name := range i.table.Names() {
-			if !present[name] {
-				i.table.Remove(name)
-			}
+		for _, name := range absent(i.table.Names(), objects) {
+			i.table.Remove(name)
 		}
 	}, func(list []store.Change, _ int64) {
 		for _, c := range list {
