Have the upstream hold a long body in the test of early answers

Where it had read all of them before the attempt looked at the answer, nothing was left to be sent, and the client kept the connection, which is allowed: no byte of another request can come where the rest of the body is due. In the failing runs the upstream had read 8388608 of 8388608 bytes each time.

The test is replaced by a stricter one: the upstream reads on only after the attempt has ended, with a body that does not fit into the connection's buffers, and what it then reads must be a part of the body and nothing else. A second one plays the allowed case.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -249,21 +250,60 @@
 	}
 }
 
+// longBody does not fit into the buffers of a connection whose peer does not read.
+const longBody = 32 << 20
+
+// TestEarlyAnswerToALongBody has the upstream read on only after the attempt has
+// ended, so that part of the body is still to be sent when the answer comes.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var bodies atomic.Int64
+	ended, read := make(chan struct{}), make(chan []byte, 1)
 	u := newRaw(t, func(conn net.Conn, r *http.Request) bool {
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 E\r\nId: "+r.Header.Get("Id")+"\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
-		n, _ := io.Copy(io.Discard, r.Body)
-		bodies.Store(n)
-		return false
+		refusal := "HTTP/1.1 503 E\r\nId: " + r.Header.Get("Id") + "\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+		_, _ = io.WriteString(conn, refusal)
+		if r.Method == http.MethodPost {
+			<-ended
+			body, _ := io.ReadAll(r.Body)
+			read <- body
+		}
+		return true
 	})
 	a := u.attempt("a")
-	a.Method, a.Body = http.MethodPost, bytes.Repeat([]byte("x"), 8<<20)
+	a.Method, a.Body = http.MethodPost, bytes.Repeat([]byte("x"), longBody)
 	client := exchange.New(dialect{})
 	r := client.Do(t.Context(), a)
+	close(ended)
 	g.Expect(r.Outcome).To(gomega.Equal(work.NotRun), "%v", r.Err)
 	g.Expect(client.Do(t.Context(), u.attempt("b")).Kept).To(gomega.BeFalse(), "the rest of the body must not be taken for a request")
+	body := <-read
+	g.Expect(len(body)).To(gomega.BeNumerically("<", longBody))
+	g.Expect(bytes.Trim(body, "x")).To(gomega.BeEmpty(), "nothing else may come where the rest of the body is due")
+	g.Expect(u.requests.Load()).To(gomega.BeEquivalentTo(2))
+}
+
+// TestAnswerBesideALongBody has the upstream read the whole body between head and
+// body of its answer. The connection may be kept then: nothing is left to be sent.
+func TestAnswerBesideALongBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var got atomic.Int64
+	u := newRaw(t, func(conn net.Conn, r *http.Request) bool {
+		answer := whole(r.Header.Get("Id"), "ok")
+		_, _ = io.WriteString(conn, answer[:len(answer)-2])
+		n, _ := io.Copy(io.Discard, r.Body)
+		got.Add(n)
+		_, _ = io.WriteString(conn, "ok")
+		return true
+	})
+	client := exchange.New(dialect{})
+	for i := range 5 {
+		a := u.attempt(strconv.Itoa(i))
+		a.Method, a.Body = http.MethodPost, bytes.Repeat([]byte("x"), longBody)
+		r := client.Do(t.Context(), a)
+		g.Expect(r.Outcome).To(gomega.Equal(work.Run), "%v", r.Err)
+		g.Expect(string(r.Body)).To(gomega.Equal("ok"))
+	}
+	g.Expect(got.Load()).To(gomega.BeEquivalentTo(5 * longBody))
+	g.Expect(u.requests.Load()).To(gomega.BeEquivalentTo(5))
 }
 
 func TestNothingSentWithoutAConnection(t *testing.T) {
