Reset connections whose request is given up

Ruled out: late news of the leaving upstream.

Change: connections whose request is not over are reset (no linger), and an attempt that is canceled ends only when its connection has.

Test: TestAbandonedRequestsDoNotArriveLater failed in its three cases before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -95,20 +95,31 @@
 	kept := conn.used
 	conn.used = true
 	_ = conn.SetDeadline(a.Deadline)
-	stop := context.AfterFunc(ctx, conn.discard)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		conn.abandon()
+	})
 	r, keep := c.exchange(ctx, conn, a)
 	r.Opened, r.Kept = opened, kept
 	if r.Rest != nil {
 		r.Rest = &rest{ReadCloser: r.Rest, conn: conn, stop: stop}
 		return r
 	}
-	if keep <= 0 || !stop() {
-		conn.discard()
+	if !stop() {
+		<-ended
 		return r
 	}
-	_ = conn.SetDeadline(time.Time{})
-	conn.keep = keep
-	c.pool.put(a.Address, conn, time.Now())
+	switch {
+	case r.Outcome == work.Unknown:
+		conn.abandon()
+	case keep <= 0:
+		conn.discard()
+	default:
+		_ = conn.SetDeadline(time.Time{})
+		conn.keep = keep
+		c.pool.put(a.Address, conn, time.Now())
+	}
 	return r
 }
 
@@ -161,7 +172,7 @@
 	resp, err := c.receive(conn, a) //nolint:bodyclose // closed below, or by whoever reads the rest
 	if err != nil {
 		// An answer may have been cut because the request was; what was sent decides.
-		conn.discard()
+		conn.abandon()
 		if s := <-sent; s.err != nil && s.bytes == 0 {
 			return notSent(ctx, s.err), 0
 		}
@@ -183,7 +194,7 @@
 		}
 		// The upstream answered before it had read the request. What is still to
 		// be sent would be taken for another request, so the connection ends.
-		conn.discard()
+		conn.abandon()
 		<-sent
 		keep = 0
 	}
@@ -282,6 +293,7 @@
 // Close implements io.Closer.
 func (r *rest) Close() error {
 	r.stop()
-	r.conn.discard()
+	// Part of the answer may still be due.
+	r.conn.abandon()
 	return nil
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -38,6 +38,17 @@
 // discard closes the connection. Its errors say nothing about the request.
 func (c *connection) discard() { _ = c.Close() }
 
+// abandon ends a connection whose request is not over. It is reset, since what a
+// cut link holds back would otherwise reach the upstream once the link is whole,
+// long after the request was answered.
+func (c *connection) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only where the connection has ended already.
+		_ = tcp.SetLinger(0)
+	}
+	c.discard()
+}
+
 // connections are the unused connections to upstreams, by address.
 type connections struct {
 	dialer net.Dialer
