Tell peers the last change, not how far an instance has read

A heartbeat told the revision up to which an instance had read the platform. An instance that starts has read further than all others, so each of 98 peers fetched from each of 15 added instances all that these knew (the log of a newcomer does not reach back): 372 upstreams, the configuration and 99 registrations. Small instances answered for seconds, and news waited.

Change: heartbeats tell the revision of the last change that is known.

Times beyond 1.5 s remain on instances that start meanwhile.

--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -28,7 +28,8 @@
 	State State
 	// Cut is set while the instance does not reach the platform.
 	Cut bool
-	// Revisions are those of the last changes that it has read, by topic.
+	// Revisions are those of the last changes that it knows, by topic; see
+	// ChangeLog.LastChange.
 	Revisions [Topics]int64
 }
 
--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -13,7 +13,7 @@
 
 // batch is what one reading of the platform brought.
 type batch struct {
-	// revision is the one as of which the batch is complete.
+	// revision is that of its last change.
 	revision int64
 	changes  []platform.Change
 }
@@ -24,8 +24,11 @@
 	mu sync.Mutex
 	// base is the revision after which the log is complete, -1 before the first
 	// snapshot.
-	base    int64
+	base int64
+	// latest is the revision up to which it is complete, changed that of the last
+	// change in it.
 	latest  int64
+	changed int64
 	batches []batch
 	size    int
 	// objects are all objects as of latest, by key.
@@ -57,12 +60,13 @@
 	}
 	if l.base < 0 || revision < l.latest {
 		l.base, l.latest, l.batches, l.size = revision, revision, nil, 0
-		l.objects = present
+		l.objects, l.changed = present, 0
+		for _, o := range objects {
+			l.changed = max(l.changed, o.Version)
+		}
 		return
 	}
-	if changes := differences(l.objects, present); len(changes) > 0 {
-		l.add(changes, revision)
-	}
+	l.add(differences(l.objects, present), revision)
 	l.objects, l.latest = present, revision
 }
 
@@ -100,9 +104,38 @@
 	l.latest = revision
 }
 
-// add appends a batch and drops the oldest beyond the bound.
+// LastChange returns the revision of the last change that is known. An instance
+// tells it to its peers, and not how far it has read: whoever starts has read
+// further than the others, and has nothing to tell them.
+func (l *ChangeLog) LastChange() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// lastChange returns the revision of the last of some changes that were read up to
+// a revision.
+func lastChange(changes []platform.Change, revision int64) int64 {
+	last := int64(0)
+	for _, c := range changes {
+		if c.Deleted {
+			// The object bears the revision of an earlier change.
+			return revision
+		}
+		last = max(last, c.Object.Version)
+	}
+	return min(last, revision)
+}
+
+// add appends a batch that was read up to a revision, and drops the oldest beyond
+// the bound.
 func (l *ChangeLog) add(changes []platform.Change, revision int64) {
-	l.batches = append(l.batches, batch{revision, changes})
+	if len(changes) == 0 {
+		return
+	}
+	// A change that was read late may be older than the last one.
+	l.changed = max(l.changed, lastChange(changes, revision))
+	l.batches = append(l.batches, batch{l.changed, changes})
 	l.size += len(changes)
 	for l.size > maxLogged && len(l.batches) > 1 {
 		l.base = l.batches[0].revision
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -207,6 +207,28 @@
 	g.Expect(news.Changes).To(gomega.HaveLen(1))
 }
 
+func TestLastChangeOfALog(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := NewChangeLog()
+	g.Expect(l.LastChange()).To(gomega.BeZero())
+	l.Replace([]platform.Object{object("a", 3), object("b", 4)}, 10)
+	g.Expect(l.LastChange()).To(gomega.Equal(int64(4)), "not that of the reading")
+	l.Append([]platform.Change{{Object: object("c", 12)}}, 15)
+	g.Expect(l.LastChange()).To(gomega.Equal(int64(12)))
+	news, _ := l.Since(10)
+	g.Expect(news.Revision).To(gomega.Equal(int64(15)), "it is complete up to the reading all the same")
+	news, _ = l.Since(12)
+	g.Expect(news.Changes).To(gomega.BeEmpty())
+	l.Append([]platform.Change{{Object: object("a", 3), Deleted: true}}, 20)
+	g.Expect(l.LastChange()).To(gomega.Equal(int64(20)), "a deletion is as late as its reading at most")
+	l.Replace([]platform.Object{object("b", 4), object("c", 12)}, 30)
+	g.Expect(l.LastChange()).To(gomega.Equal(int64(20)), "nothing changed")
+	l.Replace([]platform.Object{object("b", 33), object("c", 12)}, 40)
+	g.Expect(l.LastChange()).To(gomega.Equal(int64(33)))
+	news, _ = l.Since(30)
+	g.Expect(news.Changes).To(gomega.ConsistOf(platform.Change{Object: object("b", 33)}))
+}
+
 func TestNewsFromPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	teller := registration("a", "n1")
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -40,6 +40,7 @@
 type watching struct {
 	mu        sync.Mutex
 	followers map[fleet.Topic]*store.Follower
+	// revisions are those up to which this instance has read each topic.
 	revisions [fleet.Topics]int64
 	// chosen are the topics for which this instance is a watcher.
 	chosen [fleet.Topics]bool
@@ -99,12 +100,14 @@
 	i.reach.mu.Lock()
 	cut := len(i.reach.lost) > 0
 	i.reach.mu.Unlock()
-	i.watching.mu.Lock()
-	defer i.watching.mu.Unlock()
-	return fleet.Report{State: i.currentState(), Cut: cut, Revisions: i.watching.revisions}
+	r := fleet.Report{State: i.currentState(), Cut: cut}
+	for topic, log := range i.news.Logs {
+		r.Revisions[topic] = log.LastChange()
+	}
+	return r
 }
 
-// heard notes that a peer has read more than this instance.
+// heard notes that a peer knows a change that this instance has not read.
 func (i *Instance) heard(peer string, r fleet.Report) {
 	w := &i.watching
 	for topic, revision := range r.Revisions {
--- a/internal/instance/watching_test.go
+++ b/internal/instance/watching_test.go
@@ -238,3 +238,53 @@
 	cancel()
 	<-ended
 }
+
+// TestManyInstancesStartAtOnce plays instances that start one after the other and
+// each read more of the platform than all before: what they read is no news to the
+// others. If it were, every member would fetch every object from every one of them.
+func TestManyInstancesStartAtOnce(t *testing.T) {
+	const members, starting, read = 20, 15, 50
+	g := gomega.NewWithT(t)
+	objects := []store.Object{{Key: "a", Version: 30}, {Key: "b", Version: 40}}
+	start := func(revision int64) *Instance {
+		feed, _ := newSharedFeed()
+		for topic := range fleet.Topics {
+			feed.instance.news.Logs[topic].Replace(objects, revision)
+			feed.instance.read(topic, revision)
+		}
+		return feed.instance
+	}
+	var old []*Instance
+	for range members {
+		old = append(old, start(read))
+	}
+	hinted := func() (n int) {
+		for _, i := range old {
+			for topic := range fleet.Topics {
+				if i.watching.hints[topic].revision > i.watching.revisions[topic] {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for n := range starting {
+		newcomer := start(int64(100 + n))
+		for _, i := range old {
+			i.heard("newcomer", newcomer.report())
+			newcomer.heard("member", i.report())
+		}
+		g.Expect(newcomer.watching.hints).To(gomega.Equal([fleet.Topics]hint{}))
+	}
+	g.Expect(hinted()).To(gomega.BeZero())
+
+	// The change that one of them reads is news to all members.
+	teller := old[0]
+	old = old[1:]
+	teller.news.Logs[fleet.TopicConfiguration].Append([]store.Change{{Object: store.Object{Key: "a", Version: 130}}}, 140)
+	teller.read(fleet.TopicConfiguration, 140)
+	for _, i := range old {
+		i.heard("teller", teller.report())
+	}
+	g.Expect(hinted()).To(gomega.Equal(members - 1))
+}
