--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -62,7 +62,8 @@
 		l.base, l.latest, l.batches, l.size = revision, revision, nil, 0
 		l.objects, l.changed = present, 0
 		for _, o := range objects {
-			l.changed = max(l.changed, o.Version)
+			// A reading in several calls may hold later versions.
+			l.changed = max(l.changed, min(o.Version, revision))
 		}
 		return
 	}
--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,10 @@
 func connectTCP(near *net.TCPConn, target string, there, back *pipe) {
 	defer func() { _ = near.Close() }()
 	holdWhileCut(there)
+	if broken(near) {
+		// It was given up during a cut. What it sent would still be readable.
+		return
+	}
 	conn, err := net.Dial("tcp", target)
 	if err != nil {
 		near.SetLinger(0) //nolint:errcheck // the connection ends anyway
@@ -51,18 +56,22 @@
 	}
 	far := conn.(*net.TCPConn)
 	defer func() { _ = far.Close() }()
+	w := &wire{near: near, far: far}
+	there.wires.add(w)
+	defer there.wires.remove(w)
 	handshake := there.latency() + back.latency()
 	var both sync.WaitGroup
-	both.Go(func() { carry(near, far, there, handshake) })
-	both.Go(func() { carry(far, near, back, 0) })
+	both.Go(func() { w.carry(near, far, there, handshake) })
+	both.Go(func() { w.carry(far, near, back, 0) })
 	both.Wait()
 }
 
 // carry moves the bytes of one direction and closes it behind them.
-func carry(from, to *net.TCPConn, p *pipe, extra time.Duration) {
+func (w *wire) carry(from, to *net.TCPConn, p *pipe, extra time.Duration) {
 	way := make(chan parcel, chunksInFlight)
+	var reset atomic.Bool
 	var done sync.WaitGroup
-	done.Go(func() { deliver(way, to, p) })
+	done.Go(func() { w.deliver(way, to, p, &reset) })
 	start := time.Now()
 	for {
 		buf := make([]byte, chunkBytes)
@@ -76,6 +85,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
+				reset.Store(true)
 				to.SetLinger(0) //nolint:errcheck // a reset is passed on
 			}
 			break
@@ -83,17 +93,25 @@
 	}
 	close(way)
 	done.Wait()
-	to.CloseWrite()  //nolint:errcheck // the other side may be gone
+	if reset.Load() {
+		// A reset ends both directions.
+		to.Close() //nolint:errcheck // the other side may be gone
+		return
+	}
+	to.CloseWrite()  //nolint:errcheck // likewise
 	from.CloseRead() //nolint:errcheck // likewise
 }
 
-// deliver writes each parcel at its time; during a cut all wait.
-func deliver(way <-chan parcel, to *net.TCPConn, p *pipe) {
+// deliver writes each parcel at its time; during a cut all wait. What a cut holds
+// back is lost when its sender resets the connection meanwhile, as a sender
+// drops what was not acknowledged.
+func (w *wire) deliver(way <-chan parcel, to *net.TCPConn, p *pipe, reset *atomic.Bool) {
 	broken := false
 	for next := range way {
 		time.Sleep(time.Until(next.at))
+		held := p.cut.Load()
 		holdWhileCut(p)
-		if broken {
+		if broken || w.silent.Load() || held && reset.Load() {
 			continue
 		}
 		if _, err := to.Write(next.data); err != nil {
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -79,7 +79,7 @@
 		l.zones[z.Name] = z
 	}
 	for _, f := range config.Forwards {
-		if err := l.open(f); err != nil {
+		if _, err := l.open(f); err != nil {
 			l.Close() //nolint:errcheck // the first error counts
 			return nil, err
 		}
@@ -99,28 +99,37 @@
 	return group.Err()
 }
 
-func (l *Links) open(f Forward) error {
+// Add opens one more forward and returns its address, which Listen may leave the
+// port of to the system.
+func (l *Links) Add(f Forward) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open(f)
+}
+
+func (l *Links) open(f Forward) (string, error) {
 	there := l.pipe(pipeID{f.From, f.To, f.Platform})
 	back := l.pipe(pipeID{f.To, f.From, f.Platform})
 	switch f.Network {
 	case TCP:
 		ln, err := net.Listen("tcp", f.Listen)
 		if err != nil {
-			return Error.Wrap(err)
+			return "", Error.Wrap(err)
 		}
 		l.closers = append(l.closers, ln.Close)
 		go forwardTCP(ln, f.Target, there, back)
+		return ln.Addr().String(), nil
 	case UDP:
 		conn, err := net.ListenPacket("udp", f.Listen)
 		if err != nil {
-			return Error.Wrap(err)
+			return "", Error.Wrap(err)
 		}
 		l.closers = append(l.closers, conn.Close)
 		go forwardUDP(conn, f.Target, there, back)
+		return conn.LocalAddr().String(), nil
 	default:
-		return Error.New("unknown network %q", f.Network)
+		return "", Error.New("unknown network %q", f.Network)
 	}
-	return nil
 }
 
 // pipe returns the pipe of a direction, and makes it when it is new.
--- a/internal/lab/link/pipe.go
+++ b/internal/lab/link/pipe.go
@@ -26,6 +26,7 @@
 	cutDatagrams atomic.Bool
 	shaper       *shaper
 	counter      counter
+	wires        wires
 }
 
 func newPipe(delay time.Duration, s *shaper) *pipe {
