Leave a zone alone whose upstreams answer nothing

Change: a zone counts as out of reach when two of its upstreams owe an answer for too long and none of the zone has answered since. It then gets one request at a time, at most each second. If all zones are silent, none is left out: the fault may be on this side.

Tests: pattern 'zone out of reach', and TestZoneOutOfReachIsLeftAlone, which fails without the mechanism.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -195,12 +195,20 @@
 
 // usableOf returns the upstreams of the service that may get the request.
 func (c *Core) usableOf(now time.Time, r *Request, svc *service) []*upstream {
-	var list []*upstream
+	var list, silent []*upstream
 	for _, u := range svc.upstreams {
-		if c.usable(now, r, u) {
+		switch {
+		case !c.usable(now, r, u):
+		case c.zoneOf(u.Place).silent(now):
+			silent = append(silent, u)
+		default:
 			list = append(list, u)
 		}
 	}
+	if len(list) == 0 {
+		// The fault may be on this side, and one of them is better than none.
+		return silent
+	}
 	return list
 }
 
@@ -300,6 +308,7 @@
 	}
 	u.inFlight[t] = struct{}{}
 	c.regions.note(now, u.Place.Region)
+	c.zoneOf(u.Place).sent(t)
 	if t.cold {
 		u.trickle.Take(now, 1, c.coldRate(u), coldBurst)
 	}
--- a/internal/steering/model_test.go
+++ b/internal/steering/model_test.go
@@ -74,6 +74,10 @@
 	again   []time.Time            // arrivals beyond the first of their request
 	asked   []time.Time
 	homes   []regionUse
+	// cut reports whether nothing gets from one zone to the other; nil means nowhere.
+	cut func(from, to deployment.Place) bool
+	// lost is told of the requests that a cut swallows.
+	lost func(from deployment.Place)
 	// instances is how many of them each zone has.
 	instances int
 	// newChooser makes what an instance decides by when it starts.
@@ -322,6 +326,19 @@
 		if ended {
 			return
 		}
+		if m.cut != nil && m.cut(e.place, s.Place) {
+			if m.lost != nil {
+				m.lost(e.place)
+			}
+			// Half of the requests go out on open connections, and only their
+			// deadline ends them.
+			if m.random.IntN(2) == 0 {
+				m.at(400*time.Millisecond, func() {
+					finish(exchange.Result{Outcome: work.NotRun, Reason: work.ReasonUpstreamConnect, Opened: m.now.Sub(began)})
+				})
+			}
+			return
+		}
 		if s.dark {
 			m.at(400*time.Millisecond, func() {
 				finish(exchange.Result{Outcome: work.NotRun, Reason: work.ReasonUpstreamConnect, Opened: m.now.Sub(began)})
--- a/internal/steering/patterns_test.go
+++ b/internal/steering/patterns_test.go
@@ -116,6 +116,7 @@
 				}
 			})
 		}},
+		{name: "zone out of reach", least: 0.5, prepare: cutOff("middle-a", 10*time.Second, 16*time.Second)},
 		{name: "slow upstreams", least: 0.5, prepare: func(m *model) {
 			m.at(10*time.Second, func() {
 				for _, s := range m.servers[:4] {
@@ -164,6 +165,40 @@
 	}
 }
 
+// cutOff keeps a zone from all others for a while. Callers still reach it.
+func cutOff(zone string, from, to time.Duration) func(m *model) {
+	return func(m *model) {
+		m.cut = func(a, b deployment.Place) bool {
+			return a.Zone != b.Zone && (a.Zone == zone || b.Zone == zone) && m.elapsed() > from && m.elapsed() < to
+		}
+	}
+}
+
+// TestZoneOutOfReachIsLeftAlone bounds what instances send to a zone that does not
+// answer: what they sent before they could notice, and probes.
+func TestZoneOutOfReachIsLeftAlone(t *testing.T) {
+	const from, to = 10 * time.Second, 20 * time.Second
+	g := gomega.NewWithT(t)
+	for _, seed := range []uint64{1, 2, 3} {
+		m := deploymentModel(seed)
+		cutOff("middle-a", from, to)(m)
+		lost := map[string]int{}
+		m.lost = func(from deployment.Place) { lost[from.Zone]++ }
+		m.run(length)
+		for _, place := range m.zones {
+			if place.Zone == "middle-a" {
+				continue
+			}
+			// An instance notices within its first late requests: those of half a
+			// second. From then on it sends one request a second at most, and one
+			// while it still waits for the last.
+			before := 0.5 * m.perZone
+			probes := to.Seconds() - from.Seconds() + 2
+			g.Expect(float64(lost[place.Zone])).To(gomega.BeNumerically("<=", before+probes), "seed %d, %s", seed, place.Zone)
+		}
+	}
+}
+
 // comeBack restarts an upstream and lets the instances know half a second later.
 func (m *model) comeBack(s *server, cold time.Duration) {
 	s.restart(cold)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -58,6 +58,7 @@
 	members []Member
 	routes  map[string]*routeState
 	regions regions
+	zones   map[string]*zone
 	// opening is the time that a new connection to another place takes.
 	opening map[deployment.Place]estimate
 }
@@ -92,6 +93,7 @@
 		evacuated: make(map[string]evacuation),
 		members:   []Member{{Name: config.Instance, Place: config.Place}},
 		routes:    make(map[string]*routeState),
+		zones:     make(map[string]*zone),
 		opening:   make(map[deployment.Place]estimate),
 	}
 }
