Keep isolated instances to what cold upstreams may get

Answers to requests do not tell that an upstream is cold.

Change: heartbeats say whether the platform has answered of late. An instance that hears less than half of its peers, none of them in touch, counts as isolated; each upstream then gets no more than a cold one may, shared among those that are heard. That most peers are silent keeps an outage of the platform alone from costing anything. Both this belief and zones out of reach are logged (events 317, 729).

Tests: TestIsolatedInstancesKeepToTheColdBound, TestIsolation.

--- a/internal/event/ids.go
+++ b/internal/event/ids.go
@@ -30,22 +30,23 @@
 
 // Events of the area membership and ownership.
 const (
-	MemberJoined   ID = 301
-	MemberFailed   ID = 302
-	MemberLeaving  ID = 303
-	MemberLeft     ID = 304
-	MemberReplaced ID = 305
-	Paused         ID = 306
-	CatchingUp     ID = 307
-	CaughtUp       ID = 308
-	StateChanged   ID = 309
-	ZoneSilent     ID = 310
-	PoolOwned      ID = 311
-	PoolReleased   ID = 312
-	PoolAdopted    ID = 313
-	PoolReturned   ID = 314
-	GrantLapsed    ID = 315
-	GrantRenewed   ID = 316
+	MemberJoined     ID = 301
+	MemberFailed     ID = 302
+	MemberLeaving    ID = 303
+	MemberLeft       ID = 304
+	MemberReplaced   ID = 305
+	Paused           ID = 306
+	CatchingUp       ID = 307
+	CaughtUp         ID = 308
+	StateChanged     ID = 309
+	ZoneSilent       ID = 310
+	PoolOwned        ID = 311
+	PoolReleased     ID = 312
+	PoolAdopted      ID = 313
+	PoolReturned     ID = 314
+	GrantLapsed      ID = 315
+	GrantRenewed     ID = 316
+	IsolationChanged ID = 317
 )
 
 // Events of the area configuration.
@@ -112,6 +113,7 @@
 	UpstreamGone     ID = 726
 	RequestRefused   ID = 727
 	RequestLate      ID = 728
+	ZoneReach        ID = 729
 )
 
 // Events of the area idempotency keys.
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -26,8 +26,10 @@
 // Report is what an instance tells its peers of itself.
 type Report struct {
 	State State
-	// Cut is set while the instance does not reach the platform.
-	Cut bool
+	// Cut is set while the instance does not reach the platform. InTouch is set
+	// when the platform has answered it lately; both are unset where it need not ask.
+	Cut     bool
+	InTouch bool
 	// Revisions are those of the last changes that it knows, by topic; see
 	// ChangeLog.LastChange.
 	Revisions [Topics]int64
@@ -46,12 +48,21 @@
 	Topics
 )
 
-// encode makes the datagram of a run: version, state, cut, incarnation,
+// Flags of a datagram.
+const (
+	flagCut = 1 << iota
+	flagInTouch
+)
+
+// encode makes the datagram of a run: version, state, flags, incarnation,
 // sequence, revisions, name, authenticator.
 func encode(r *Registration, report Report, sequence uint64) []byte {
 	beat := []byte{beatVersion, byte(report.State), 0}
 	if report.Cut {
-		beat[2] = 1
+		beat[2] |= flagCut
+	}
+	if report.InTouch {
+		beat[2] |= flagInTouch
 	}
 	beat = binary.BigEndian.AppendUint64(beat, r.Incarnation)
 	beat = binary.BigEndian.AppendUint64(beat, sequence)
@@ -92,7 +103,7 @@
 	if !hmac.Equal(proof, digest(r.Secret, text)) {
 		return "", Report{}, Error.New("datagram of %q with a wrong authenticator", name)
 	}
-	report := Report{State: State(text[1]), Cut: text[2] != 0}
+	report := Report{State: State(text[1]), Cut: text[2]&flagCut != 0, InTouch: text[2]&flagInTouch != 0}
 	for i := range report.Revisions {
 		report.Revisions[i] = int64(binary.BigEndian.Uint64(text[revisionsAt+8*i:]))
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 
 func TestDatagramsProveTheirSender(t *testing.T) {
 	self := registration("a", "n1")
-	report := Report{State: Serving, Cut: true, Revisions: [Topics]int64{3, 1 << 40, 0, 9}}
+	report := Report{State: Serving, Cut: true, InTouch: true, Revisions: [Topics]int64{3, 1 << 40, 0, 9}}
 	good := encode(&self, report, 5)
 	changed := func(at int) []byte {
 		b := append([]byte(nil), good...)
@@ -207,6 +207,30 @@
 	g.Expect(news.Changes).To(gomega.HaveLen(1))
 }
 
+func TestIsolation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	peer := func(alive, cut, inTouch bool, state State) Peer {
+		return Peer{Alive: alive, Report: Report{State: state, Cut: cut, InTouch: inTouch}}
+	}
+	alone, silent, left := peer(true, false, false, Serving), peer(false, false, true, Serving), peer(false, false, true, Leaving)
+	cases := []struct {
+		name     string
+		peers    []Peer
+		isolated bool
+	}{
+		{"alone from the start", []Peer{alone}, false},
+		{"most are silent", []Peer{alone, alone, silent, silent, silent}, true},
+		{"most are silent, and it reaches the platform", []Peer{peer(true, false, true, Serving), silent, silent, silent}, false},
+		{"most are silent, and a peer reaches the platform", []Peer{alone, peer(true, false, true, Serving), silent, silent, silent}, false},
+		{"half are silent", []Peer{alone, alone, silent, silent}, false},
+		{"the platform is down for all", []Peer{peer(true, true, false, Serving), peer(true, true, false, Serving), silent}, false},
+		{"most have left", []Peer{alone, left, left, left}, false},
+	}
+	for _, c := range cases {
+		g.Expect(Isolated(c.peers)).To(gomega.Equal(c.isolated), c.name)
+	}
+}
+
 func TestLastChangeOfALog(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := NewChangeLog()
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -217,6 +217,22 @@
 	return names
 }
 
+// Isolated reports whether an instance and those it hears are probably cut off from
+// the rest: most of the others are silent, and none of those that are left has had
+// an answer of the platform lately.
+func Isolated(candidates []Peer) bool {
+	silent := 0
+	for _, p := range candidates {
+		switch {
+		case p.Alive && p.InTouch:
+			return false
+		case !p.Alive && p.State != Leaving:
+			silent++
+		}
+	}
+	return 2*silent > len(candidates)
+}
+
 func watchRank(topic Topic, name string) uint64 {
 	return xxhash.Sum64String(name + string(rune('0'+int(topic))))
 }
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -30,6 +30,8 @@
 	// returned is when the last outage ended that was long enough for entries of
 	// living upstreams to lapse.
 	returned time.Time
+	// answered is when the platform itself answered last; nil when it never did.
+	answered atomic.Pointer[time.Time]
 	// rereading is set while a reading of all upstreams is due after an outage.
 	rereading atomic.Bool
 }
@@ -65,6 +67,25 @@
 	}
 }
 
+// inTouchFor is how long after an answer of the platform an instance counts as in
+// touch with it: a watcher asks again within 0.6 of the bounds, which are some
+// seconds, and one answer may be lost.
+const inTouchFor = 4 * time.Second
+
+// inTouch reports whether the platform has answered lately.
+func (r *reach) inTouch(now time.Time) bool {
+	at := r.answered.Load()
+	return at != nil && now.Sub(*at) < inTouchFor
+}
+
+// noteAnswer notes an answer of the platform itself.
+func (r *reach) noteAnswer(err error) {
+	if err == nil || store.Compacted.Has(err) {
+		now := time.Now()
+		r.answered.Store(&now)
+	}
+}
+
 // scoutLost reports whether the scout does not reach the store.
 func (i *Instance) scoutLost() bool {
 	i.reach.mu.Lock()
@@ -318,6 +339,7 @@
 		}
 		i.core.SetMembers(members)
 		i.chooseWatchers(peers)
+		i.noteIsolation(peers)
 		select {
 		case <-ctx.Done():
 			return
@@ -326,6 +348,14 @@
 	}
 }
 
+// noteIsolation tells the core whether changes of upstreams may be missed for long.
+func (i *Instance) noteIsolation(peers []fleet.Peer) {
+	isolated := fleet.Isolated(append([]fleet.Peer{{Registration: i.self, Report: i.report(), Alive: true}}, peers...))
+	if i.core.SetIsolated(isolated) {
+		i.events.Log(event.IsolationChanged, "isolated", isolated, "peers", len(peers))
+	}
+}
+
 // registerRetry spaces out tries to register.
 const (
 	registerRetryMin = 100 * time.Millisecond
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -140,6 +140,9 @@
 	i.store = platform.NewStore(place.StoreAddress, storeTimeout)
 	i.core = steering.New(steering.Config{
 		Instance: place.Instance, Place: place.Place, Bounds: place.Bounds, Seed: run,
+		ZoneReach: func(zone string, reached bool, silences int) {
+			events.Log(event.ZoneReach, "zone", zone, "reached", reached, "silences", silences)
+		},
 	})
 	i.exchange = exchange.New(platform.Headers{})
 	var err error
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -100,7 +100,7 @@
 	i.reach.mu.Lock()
 	cut := len(i.reach.lost) > 0
 	i.reach.mu.Unlock()
-	r := fleet.Report{State: i.currentState(), Cut: cut}
+	r := fleet.Report{State: i.currentState(), Cut: cut, InTouch: i.reach.inTouch(time.Now())}
 	for topic, log := range i.news.Logs {
 		r.Revisions[topic] = log.LastChange()
 	}
@@ -153,7 +153,9 @@
 // Snapshot implements store.Feed.
 func (f *sharedFeed) Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error) {
 	if f.full == nil {
-		return f.Feed.Snapshot(ctx, kind)
+		objects, revision, err := f.Feed.Snapshot(ctx, kind)
+		f.instance.reach.noteAnswer(err)
+		return objects, revision, err
 	}
 	full := f.full
 	f.full = nil
@@ -195,7 +197,7 @@
 			}
 			return changes, revision, err
 		case wait == 0 && f.mayProbe(kind, chosen, time.Since(began)):
-			return f.Feed.Changes(ctx, kind, after, 0)
+			return f.direct(ctx, kind, after, 0)
 		default:
 			if err := f.sleep(ctx, wait == 0); err != nil {
 				return nil, 0, store.Unavailable.Wrap(err)
@@ -223,7 +225,14 @@
 			}
 		}
 	}()
-	return f.Feed.Changes(ctx, kind, after, wait)
+	return f.direct(ctx, kind, after, wait)
+}
+
+// direct asks the platform.
+func (f *sharedFeed) direct(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	changes, revision, err := f.Feed.Changes(ctx, kind, after, wait)
+	f.instance.reach.noteAnswer(err)
+	return changes, revision, err
 }
 
 // hinted reports whether a peer knows more.
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -220,7 +220,7 @@
 	if _, evacuated := c.evacuated[u.Place.Zone]; evacuated {
 		return false
 	}
-	if now.Before(u.blocked) || u.faults > 0 && len(u.inFlight) > 0 {
+	if now.Before(u.blocked) || u.faults > 0 && len(u.inFlight) > 0 || c.isFullUnseen(now, u) {
 		return false
 	}
 	return !u.isCold(now) || c.warmsUp(u) && u.trickle.Wait(now, 1, c.coldRate(u), coldBurst) == 0
@@ -312,6 +312,7 @@
 	if t.cold {
 		u.trickle.Take(now, 1, c.coldRate(u), coldBurst)
 	}
+	c.noteUnseen(now, u)
 	return t
 }
 
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -1,5 +1,7 @@
 package steering
 
+import "time"
+
 const (
 	// coldBurst is how many requests a cold upstream may get at once.
 	coldBurst = 1
@@ -40,3 +42,36 @@
 	}
 	return best == c.config.Instance
 }
+
+// unseenRate returns the rate and the burst of requests that this instance may send
+// to an upstream that may have become cold unseen: its share of what all instances
+// together may send to a cold one. It reports false where there is no such bound.
+func (c *Core) unseenRate(u *upstream) (rate, burst float64, bounded bool) {
+	b := c.config.Bounds
+	if c.table == nil || b.ColdRatio <= 0 {
+		return 0, 0, false
+	}
+	cold := c.table.Services[u.Service].ColdRate
+	if cold <= 0 {
+		return 0, 0, false
+	}
+	share := coldPart / float64(len(c.members))
+	return share * cold * b.ColdRatio, max(share*b.ColdSlack, 1), true
+}
+
+// isFullUnseen reports whether the upstream has had as many requests of late as one
+// may get that became cold while this instance is isolated.
+func (c *Core) isFullUnseen(now time.Time, u *upstream) bool {
+	if !c.isolated {
+		return false
+	}
+	rate, burst, bounded := c.unseenRate(u)
+	return bounded && u.unseen.Wait(now, 1, rate, burst) > 0
+}
+
+// noteUnseen books a request to an upstream.
+func (c *Core) noteUnseen(now time.Time, u *upstream) {
+	if rate, burst, bounded := c.unseenRate(u); c.isolated && bounded {
+		u.unseen.Take(now, 1, rate, burst)
+	}
+}
--- a/internal/steering/silence.go
+++ b/internal/steering/silence.go
@@ -23,6 +23,8 @@
 
 // zone is what is known of the way to the upstreams of a zone.
 type zone struct {
+	name   string
+	change func(zone string, reached bool, silences int)
 	// unanswered are the requests that were sent there since the last answer.
 	unanswered []*Ticket
 	// silences counts how often in a row the zone was out of reach. It is left
@@ -35,7 +37,7 @@
 func (c *Core) zoneOf(p deployment.Place) *zone {
 	z := c.zones[p.Zone]
 	if z == nil {
-		z = &zone{}
+		z = &zone{name: p.Zone, change: c.config.ZoneReach}
 		c.zones[p.Zone] = z
 	}
 	return z
@@ -55,7 +57,10 @@
 func (z *zone) ended(now time.Time, t *Ticket, r exchange.Result) {
 	switch {
 	case r.Outcome == work.Run, r.Reason == work.ReasonUpstreamShed, r.Reason == work.ReasonNotOwner:
-		*z = zone{}
+		if z.silences > 0 {
+			z.change(z.name, true, z.silences)
+		}
+		z.unanswered, z.probe, z.silences = nil, nil, 0
 	case t == z.probe:
 		z.block(now)
 	}
@@ -66,6 +71,7 @@
 	z.retry = now.Add(min(silentBlock<<min(z.silences, 10), maxSilentBlock))
 	z.silences++
 	z.unanswered, z.probe = nil, nil
+	z.change(z.name, false, z.silences)
 }
 
 // silent reports whether no request should be sent to the zone now.
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -41,6 +41,9 @@
 	Bounds   deployment.Bounds
 	// Seed makes decisions repeatable.
 	Seed uint64
+	// ZoneReach is told when the upstreams of a zone are out of reach, for how many
+	// times in a row, and when they answer again; nil is not. It must not call back.
+	ZoneReach func(zone string, reached bool, silences int)
 }
 
 // Core is the state of the decisions. It is safe for concurrent use; each
@@ -59,6 +62,8 @@
 	routes  map[string]*routeState
 	regions regions
 	zones   map[string]*zone
+	// isolated is set while reports about upstreams may be missing for long.
+	isolated bool
 	// opening is the time that a new connection to another place takes.
 	opening map[deployment.Place]estimate
 }
@@ -85,6 +90,9 @@
 
 // New returns a Core that knows no upstreams and no configuration.
 func New(config Config) *Core {
+	if config.ZoneReach == nil {
+		config.ZoneReach = func(string, bool, int) {}
+	}
 	return &Core{
 		config:    config,
 		random:    rand.New(rand.NewPCG(config.Seed, uint64(len(config.Instance)))),
@@ -134,6 +142,17 @@
 	}
 }
 
+// SetIsolated says whether this instance may miss reports about upstreams for long.
+// It then treats each as one that may have become cold. It returns whether that is
+// a change.
+func (c *Core) SetIsolated(isolated bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.isolated != isolated
+	c.isolated = isolated
+	return changed
+}
+
 // SetUpstream adds an upstream, or takes over what it says now.
 func (c *Core) SetUpstream(now time.Time, u Upstream) {
 	c.mu.Lock()
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -302,3 +302,41 @@
 	c.SetUpstream(now, steering.Upstream{ID: "u", Incarnation: 1, Service: "s", Address: "u", Place: here, Slots: 100, Revision: 4})
 	g.Expect(sent()).To(gomega.Equal(200), "it says that it is not cold")
 }
+
+// TestIsolatedInstancesKeepToTheColdBound is an instance that is cut off: upstreams
+// may become cold, and no report says so. What all that are cut off with it send in
+// a second must stay within what a cold upstream may get.
+func TestIsolatedInstancesKeepToTheColdBound(t *testing.T) {
+	const coldPerSecond, asked = 9.0, 200
+	allowed := coldPerSecond*bounds.ColdRatio + bounds.ColdSlack
+	for _, members := range []int{1, 2} {
+		for _, isolated := range []bool{false, true} {
+			t.Run(fmt.Sprint(members, isolated), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				began := time.Unix(100, 0)
+				c := newCore(began, steering.Upstream{ID: "u", Place: here, Slots: 1000})
+				table := routing.NewTable("2", routing.Limits{}, []routing.Service{{Name: "s", ColdRate: coldPerSecond}}, nil)
+				table.Revision = 2
+				g.Expect(c.SetTable(table)).To(gomega.BeTrue())
+				list := []steering.Member{{Name: "e", Place: here}, {Name: "f", Place: here}}
+				c.SetMembers(list[:members])
+				g.Expect(c.SetIsolated(isolated)).To(gomega.Equal(isolated))
+				var sent []time.Time
+				for n := range 3 * asked {
+					now := began.Add(time.Duration(n) * time.Second / asked)
+					d := c.Choose(now, ask(now, "o"))
+					if d.Ticket != nil {
+						sent = append(sent, now)
+						c.Done(now, d.Ticket, answered)
+					}
+				}
+				most := float64(mostWithin(sent, time.Second))
+				if isolated {
+					g.Expect(most).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", allowed/float64(members))))
+				} else {
+					g.Expect(most).To(gomega.BeNumerically(">", allowed))
+				}
+			})
+		}
+	}
+}
--- a/internal/steering/upstream.go
+++ b/internal/steering/upstream.go
@@ -50,6 +50,8 @@
 	// coldUntil is when it has warmed up, and trickle limits requests until then.
 	coldUntil time.Time
 	trickle   limit.Bucket
+	// unseen limits requests while it may have become cold unseen.
+	unseen limit.Bucket
 	// absent is set while it could not be reached several times in a row: it may
 	// have started again, and then it is cold.
 	absent bool
