Hold callers to the configured time for a header

Cause: the configuration's time for a header was decoded but not used: a header on a new connection could take a constant 10 s, and one on a connection that was used before as long as connections may be unused, since net/http sets its deadline for a header while the connection still counts as idle.

Change: the first deadline after a connection becomes unused is the idle limit, later ones that for a header; each with the margin that idle connections had.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -198,7 +198,7 @@
 		server := newServer(h.handler)
 		server.ConnState = noteIdle
 		if h.handler == i.gateway {
-			ln = callerListener{ln, i.idleLimit}
+			ln = callerListener{ln, i.callerLimits}
 		}
 		i.servers = append(i.servers, server)
 		go func() { _ = server.Serve(ln) }()
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -13,17 +13,19 @@
 	"sycamoreledge.example/internal/deployment"
 	"sycamoreledge.example/internal/event"
 	"sycamoreledge.example/internal/fleet"
+	"sycamoreledge.example/internal/routing"
 	"sycamoreledge.example/platform"
 )
 
 const (
-	// headerTimeout bounds the time for a caller's header before limits are known.
+	// headerTimeout bounds the time for a caller's header while no configuration does.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes unused connections while no configuration bounds them.
 	idleTimeout = 120 * time.Second
-	// idleMargin is for how much longer than the configuration says connections are
-	// kept, so that no caller meets one that is just being closed.
-	idleMargin = 2 * time.Second
+	// limitMargin is for how much longer than the configuration says connections are
+	// kept, so that no caller meets one that is just being closed: a request may be
+	// on its way for a second when a packet is lost.
+	limitMargin = 2 * time.Second
 	// maxHeader bounds a caller's header in bytes.
 	maxHeader = 64 << 10
 	// directoryAge is how long callers may keep a directory answer: short, so that
@@ -41,19 +43,25 @@
 	}
 }
 
-// callerConn is a caller's connection, which may be unused for as long as the
-// configuration in force says.
+// callerConn is a caller's connection, for which the configuration in force says
+// how long it may be unused and how long the header of a request may take.
 type callerConn struct {
 	net.Conn
-	idle  atomic.Bool
-	limit func() time.Duration
+	// idle is set when the connection becomes unused, until its deadline is set.
+	idle   atomic.Bool
+	limits func() routing.Limits
 }
 
 // SetReadDeadline implements net.Conn. net/http sets one when the connection
-// becomes unused.
+// becomes unused, one when the next request begins, and a past one to end a read.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if limit := c.limit(); c.idle.Load() && limit > 0 && !t.IsZero() {
-		t = time.Now().Add(limit + idleMargin)
+	limits := c.limits()
+	limit := limits.HeaderTimeout
+	if c.idle.Swap(false) {
+		limit = limits.IdleTimeout
+	}
+	if now := time.Now(); limit > 0 && t.After(now) {
+		t = now.Add(limit + limitMargin)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -61,7 +69,7 @@
 // callerListener accepts callers' connections.
 type callerListener struct {
 	net.Listener
-	limit func() time.Duration
+	limits func() routing.Limits
 }
 
 // Accept implements net.Listener.
@@ -70,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, limit: l.limit}, nil
+	return &callerConn{Conn: conn, limits: l.limits}, nil
 }
 
 // noteIdle follows the state of callers' connections.
@@ -80,13 +88,12 @@
 	}
 }
 
-// idleLimit is for how long callers may leave connections unused; 0 when the
-// configuration does not say.
-func (i *Instance) idleLimit() time.Duration {
+// callerLimits are those of the configuration in force; none without one.
+func (i *Instance) callerLimits() routing.Limits {
 	if table := i.core.Table(); table != nil {
-		return table.Limits.IdleTimeout
+		return table.Limits
 	}
-	return 0
+	return routing.Limits{}
 }
 
 // answerReady tells the platform whether this instance takes requests.
