--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -106,7 +106,7 @@
 		return slices.ContainsFunc(table.Peers(now), func(p Peer) bool { return p.Name == "a" && p.Alive })
 	}
 	table.Heard(began, "a", Report{State: Serving})
-	g.Expect(alive(began.Add(3*Interval - 1))).To(gomega.BeTrue(), "two were lost")
+	g.Expect(alive(began.Add(3*Interval-1))).To(gomega.BeTrue(), "two were lost")
 	g.Expect(alive(began.Add(within))).To(gomega.BeFalse())
 	table.Heard(began.Add(within), "a", Report{State: Serving})
 	g.Expect(alive(began.Add(within))).To(gomega.BeTrue(), "it is back")
