Keep an instance that stops among its peers while it serves

A stop removed the registration first, so that peers forgot the instance and sent it nothing for the 2 to 5.5 s in which it served on: it heard of no changes, and its share of the budgets grew as its peers seemed to fail. Peers logged its datagrams as refused.

Change: it leaves its peers when the lists that name it have run out; heartbeats and the view of peers end then, and the removal is waited for, 0.5 s at most.

--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -386,15 +386,23 @@
 	}
 }
 
-// unregister removes this instance from the platform, but not a later run of it.
-func (i *Instance) unregister(ctx context.Context) {
-	revision := i.registered.Load()
-	if revision == 0 {
-		return
-	}
+// unregisterWait bounds the time for which a planned stop waits for the platform
+// alone: it answers within milliseconds, and 200 ms when it is slow.
+const unregisterWait = 500 * time.Millisecond
+
+// unregister removes this instance from the platform, but not a later run of it. The
+// channel is closed when that is done or has failed.
+func (i *Instance) unregister(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
+		revision := i.registered.Load()
+		if revision == 0 {
+			return
+		}
 		if err := i.store.Delete(ctx, kindInstances, i.self.Name, revision); err != nil {
 			i.events.Log(event.RegistrationFailed, "error", err)
 		}
 	}()
+	return done
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -212,14 +212,20 @@
 		"version", i.options.Version, "incarnation", i.self.Incarnation)
 	background, end := context.WithCancel(context.Background())
 	defer end()
+	// among ends when this instance leaves its peers, in a planned stop.
+	among, leave := context.WithCancel(background)
+	defer leave()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		i.beats.Run, i.followUpstreams, i.followConfiguration, i.followEvacuations, i.followInstances, i.keepMembers, i.keepConnections, i.register, i.keepSettings,
+		i.followUpstreams, i.followConfiguration, i.followEvacuations, i.followInstances, i.keepConnections, i.register, i.keepSettings,
 	} {
 		loops.Go(func() { run(background) })
 	}
+	for _, run := range []func(context.Context){i.beats.Run, i.keepMembers} {
+		loops.Go(func() { run(among) })
+	}
 	<-ctx.Done()
-	i.stop(background)
+	i.stop(background, leave)
 	end()
 	loops.Wait()
 }
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -155,14 +155,15 @@
 )
 
 // stop finishes what is in progress: the instance is named to callers no more,
-// serves until kept lists have run out, and ends when no request is left.
-func (i *Instance) stop(ctx context.Context) {
+// serves among its peers until kept lists have run out, leaves them, and ends when
+// no request is left. Until it leaves it hears of changes; from then on it keeps to
+// what it knew of its peers, whose silence says nothing any more.
+func (i *Instance) stop(ctx context.Context, leave func()) {
 	began := time.Now()
 	i.events.Log(event.Stopping, "instance", i.self.Name, "reason", "signal")
 	i.setState(fleet.Leaving)
 	i.beats.Prompt()
 	i.gateway.Leave()
-	i.unregister(ctx)
 	limit := i.place().Bounds.Stop
 	if limit <= 0 {
 		limit = defaultStop
@@ -170,6 +171,8 @@
 	end := began.Add(limit - stopMargin)
 	lists := began.Add(min(directoryAge, limit/2))
 	time.Sleep(time.Until(lists))
+	leave()
+	unregistered := i.unregister(ctx)
 	// From here on no further request is taken; those in progress are finished.
 	closing, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -179,6 +182,10 @@
 			break
 		}
 	}
+	select {
+	case <-unregistered:
+	case <-time.After(min(unregisterWait, time.Until(end))):
+	}
 	i.events.Log(event.Stopped, "instance", i.self.Name, "after", time.Since(began))
 }
 
