Pick an object's homes without sorting all upstreams

Each decision sorted the scores of all upstreams of a service, of which the first two were used. They are now picked in two passes. Same homes: ties cannot occur but between equal hashes.

--- a/internal/steering/homes.go
+++ b/internal/steering/homes.go
@@ -1,9 +1,7 @@
 package steering
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"sycamoreledge.example/internal/work"
 )
@@ -27,28 +25,34 @@
 // and a change of the list moves only the objects of the upstreams that came or
 // went.
 func (c *Core) homes(object string, kind work.Kind, usable []*upstream) []*upstream {
-	type scored struct {
-		u     *upstream
-		score float64
+	if len(usable) < homesOfObject {
+		return usable
 	}
 	near := c.nearPart(kind, usable)
-	list := make([]scored, len(usable))
+	scores := make([]float64, len(usable))
 	for i, u := range usable {
-		list[i] = scored{u, rendezvous(object, u.ID, c.weight(kind, u, near))}
+		scores[i] = rendezvous(object, u.ID, c.weight(kind, u, near))
 	}
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	homes := make([]*upstream, 0, homesOfObject)
-	for _, l := range list {
+	first := least(scores, func(int) bool { return true })
+	second := least(scores, func(i int) bool {
 		// A zone with little room must not hold both homes of most of its uploads.
-		crowded := kind == work.Upload && len(homes) > 0 && l.u.Place.Zone == homes[0].Place.Zone
-		if len(homes) < homesOfObject && !crowded {
-			homes = append(homes, l.u)
-		}
+		return i != first && (kind != work.Upload || usable[i].Place.Zone != usable[first].Place.Zone)
+	})
+	if second < 0 {
+		second = least(scores, func(i int) bool { return i != first })
 	}
-	if len(homes) < homesOfObject && len(list) > 1 {
-		homes = append(homes, list[1].u)
+	return []*upstream{usable[first], usable[second]}
+}
+
+// least returns the index of the least score among those that are eligible, or -1.
+func least(scores []float64, eligible func(i int) bool) int {
+	best := -1
+	for i, score := range scores {
+		if eligible(i) && (best < 0 || score < scores[best]) {
+			best = i
+		}
 	}
-	return homes
+	return best
 }
 
 // weight is the part of the objects that an upstream should get. Those of the
--- a/internal/steering/homes_test.go
+++ b/internal/steering/homes_test.go
@@ -85,3 +85,26 @@
 	}
 	g.Expect(len(zones)).To(gomega.BeNumerically(">", 1), "what one home has no room for leaves the zone")
 }
+
+// BenchmarkChoose decides on requests to a service of the size of the largest that
+// users have.
+func BenchmarkChoose(b *testing.B) {
+	const upstreams = 300
+	now := time.Unix(100, 0)
+	c := steering.New(steering.Config{Instance: "e", Place: here, Bounds: bounds, Seed: 1})
+	for n := range upstreams {
+		id := fmt.Sprint("upstream-", n)
+		c.SetUpstream(now, steering.Upstream{ID: id, Incarnation: 1, Service: "s", Address: id, Place: here, Slots: 6})
+	}
+	requests := make([]*steering.Request, 1000)
+	for n := range requests {
+		requests[n] = ask(now, fmt.Sprint("object ", n))
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Millisecond)
+		if d := c.Choose(now, requests[n%len(requests)]); d.Ticket != nil {
+			c.Done(now, d.Ticket, answered)
+		}
+	}
+}
