Rank upstreams for objects by xxhash

The ranks were FNV with a finalizer written by hand; xxhash is a library that the project uses already, and the keys of upstreams are computed once. All objects get other homes by this, the same at all instances. The tests of homes, regions and cold upstreams hold unchanged.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -1,10 +1,12 @@
 package steering
 
 import (
-	"hash/fnv"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamoreledge.example/internal/routing"
 	"sycamoreledge.example/internal/work"
 )
@@ -77,23 +79,17 @@
 	return s
 }
 
-// rank is a number in [0, 1) that all instances compute alike for an object and
-// an upstream.
-func rank(object, upstream string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(object))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(upstream))
-	x := h.Sum64()
-	// FNV leaves the upper bits of similar inputs alike; this mixes them.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+// rank is a number in [0, 1) that all instances compute alike for two keys.
+func rank(a, b uint64) float64 {
+	var both [16]byte
+	binary.LittleEndian.PutUint64(both[:8], a)
+	binary.LittleEndian.PutUint64(both[8:], b)
+	return float64(xxhash.Sum64(both[:])>>11) / (1 << 53)
 }
 
+// keyOf is the key of a name for rank.
+func keyOf(name string) uint64 { return xxhash.Sum64String(name) }
+
 // candidate is an upstream with what a request would meet there.
 type candidate struct {
 	u    *upstream
@@ -255,7 +251,7 @@
 		cand.cost += scale(transferCost, bytes)
 	}
 	if object != "" {
-		cand.cost += scale(fresh, hashSpread*rank(object, u.ID))
+		cand.cost += scale(fresh, hashSpread*rank(keyOf(object), u.key))
 		if !cand.warm && !presumed {
 			cand.cost += scale(fresh-warm, displacement)
 			if cand.wait > 0 {
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -30,7 +30,7 @@
 func (c *Core) warmsUp(u *upstream) bool {
 	best, bestKey := "", -1.0
 	for _, m := range c.members {
-		key := rank(m.Name, u.ID)
+		key := rank(keyOf(m.Name), u.key)
 		if m.Place.Zone == u.Place.Zone {
 			key += 2
 		} else if m.Place.Region == u.Place.Region {
--- a/internal/steering/homes.go
+++ b/internal/steering/homes.go
@@ -29,9 +29,9 @@
 		return usable
 	}
 	near := c.nearPart(kind, usable)
-	scores := make([]float64, len(usable))
+	key, scores := keyOf(object), make([]float64, len(usable))
 	for i, u := range usable {
-		scores[i] = rendezvous(object, u.ID, c.weight(kind, u, near))
+		scores[i] = rendezvous(key, u.key, c.weight(kind, u, near))
 	}
 	first := least(scores, func(int) bool { return true })
 	second := least(scores, func(i int) bool {
@@ -100,6 +100,6 @@
 
 // rendezvous is a score by which the least wins; each upstream wins a part of
 // all objects that is proportional to its weight.
-func rendezvous(object, upstream string, weight float64) float64 {
+func rendezvous(object, upstream uint64, weight float64) float64 {
 	return -math.Log1p(-rank(object, upstream)) / weight
 }
--- a/internal/steering/shares.go
+++ b/internal/steering/shares.go
@@ -27,7 +27,7 @@
 	for _, share := range r.Shares {
 		sum += share.Weight
 	}
-	point := rank(object, r.Prefix) * sum
+	point := rank(keyOf(object), keyOf(r.Prefix)) * sum
 	behind, most := "", 0.0
 	var preferred routing.Share
 	for _, share := range r.Shares {
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -169,7 +169,7 @@
 	if known != nil {
 		c.remove(known)
 	}
-	known = &upstream{Upstream: u, warm: make(map[string]time.Time)}
+	known = &upstream{Upstream: u, key: keyOf(u.ID), warm: make(map[string]time.Time)}
 	known.cold(now, u.ColdFor)
 	c.upstreams[u.ID] = known
 	s := c.serviceOf(u.Service)
--- a/internal/steering/upstream.go
+++ b/internal/steering/upstream.go
@@ -32,6 +32,8 @@
 // upstream is a row of the table of upstreams.
 type upstream struct {
 	Upstream
+	// key is that of its ID for rank.
+	key uint64
 	// inFlight are the requests that this instance has there.
 	inFlight map[*Ticket]struct{}
 	// others is the number of requests of other instances there, as of seen.
