--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -169,7 +169,8 @@
 		limit = defaultStop
 	}
 	end := began.Add(limit - stopMargin)
-	lists := began.Add(min(directoryAge, limit/2))
+	// A peer that missed the first datagram names this instance until the next one.
+	lists := began.Add(min(directoryAge+fleet.Interval, limit/2))
 	time.Sleep(time.Until(lists))
 	leave()
 	unregistered := i.unregister(ctx)
