--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -219,8 +219,8 @@
 }
 
 // Isolated reports whether an instance and those it hears are probably cut off from
-// the rest: most of the others are silent, and none of those that are left has had
-// an answer of the platform lately.
+// the rest: most of all, the instance itself included, are silent, and none of those
+// that are left has had an answer of the platform lately.
 func Isolated(candidates []Peer) bool {
 	silent := 0
 	for _, p := range candidates {
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -27,11 +27,11 @@
 	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
-		switch {
-		case r.Method == http.MethodPost:
+		switch r.Method {
+		case http.MethodPost:
 			registered = time.Now()
 			_, _ = io.WriteString(w, `{"metadata":{"name":"a","revision":7}}`)
-		case r.Method == http.MethodDelete:
+		case http.MethodDelete:
 			removed = time.Now()
 			_, _ = io.WriteString(w, `{}`)
 		default:
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -195,7 +195,7 @@
 	for _, u := range svc.upstreams {
 		switch {
 		case !c.usable(now, r, u):
-		case c.zoneOf(u.Place).silent(now):
+		case c.zoneOf(u.Place).isSilent(now):
 			silent = append(silent, u)
 		default:
 			list = append(list, u)
--- a/internal/steering/silence.go
+++ b/internal/steering/silence.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"sycamoreledge.example/internal/deployment"
@@ -62,6 +63,7 @@
 		}
 		z.unanswered, z.probe, z.silences = nil, nil, 0
 	case t == z.probe:
+		// Also one that was canceled had no answer.
 		z.block(now)
 	}
 }
@@ -74,22 +76,22 @@
 	z.change(z.name, false, z.silences)
 }
 
-// silent reports whether no request should be sent to the zone now.
-func (z *zone) silent(now time.Time) bool {
+// isSilent reports whether no request should be sent to the zone now. It notices when
+// the zone falls silent.
+func (z *zone) isSilent(now time.Time) bool {
 	if z.silences > 0 {
 		return now.Before(z.retry) || z.probe != nil
 	}
-	var first *upstream
+	var owing []*upstream
 	for _, t := range z.unanswered {
-		if now.Sub(t.sent) <= max(overdueFactor*t.expected, overdueLeast) {
-			continue
-		}
-		if first == nil {
-			first = t.upstream
-		} else if t.upstream != first {
-			z.block(now)
-			return true
+		late := now.Sub(t.sent) > max(overdueFactor*t.expected, overdueLeast)
+		if late && !slices.Contains(owing, t.upstream) {
+			owing = append(owing, t.upstream)
 		}
 	}
-	return false
+	if len(owing) < silentLeast {
+		return false
+	}
+	z.block(now)
+	return true
 }
