--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -195,7 +195,7 @@
 	for _, u := range svc.upstreams {
 		switch {
 		case !c.usable(now, r, u):
-		case c.zoneOf(u.Place).isSilent(now):
+		case u.zone.isSilent(now):
 			silent = append(silent, u)
 		default:
 			list = append(list, u)
@@ -304,7 +304,7 @@
 	}
 	u.inFlight[t] = struct{}{}
 	c.regions.note(now, u.Place.Region)
-	c.zoneOf(u.Place).sent(t)
+	u.zone.sent(t)
 	if t.cold {
 		u.trickle.Take(now, 1, c.coldRate(u), coldBurst)
 	}
--- a/internal/steering/done.go
+++ b/internal/steering/done.go
@@ -17,7 +17,7 @@
 	t.settled = true
 	u := t.upstream
 	delete(u.inFlight, t)
-	c.zoneOf(u.Place).ended(now, t, r)
+	u.zone.ended(now, t, r)
 	if r.Opened > 0 && r.Reason != work.ReasonUpstreamConnect && r.Reason != work.ReasonCanceled {
 		e := c.opening[u.Place]
 		e.add(r.Opened.Seconds(), tripFraction)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -163,13 +163,14 @@
 			return
 		}
 		known.Upstream, known.absent = u, false
+		known.zone = c.zoneOf(u.Place)
 		known.coldUntil = now.Add(u.ColdFor)
 		return
 	}
 	if known != nil {
 		c.remove(known)
 	}
-	known = &upstream{Upstream: u, key: keyOf(u.ID), warm: make(map[string]time.Time)}
+	known = &upstream{Upstream: u, key: keyOf(u.ID), zone: c.zoneOf(u.Place), warm: make(map[string]time.Time)}
 	known.cold(now, u.ColdFor)
 	c.upstreams[u.ID] = known
 	s := c.serviceOf(u.Service)
--- a/internal/steering/upstream.go
+++ b/internal/steering/upstream.go
@@ -34,6 +34,8 @@
 	Upstream
 	// key is that of its ID for rank.
 	key uint64
+	// zone is what is known of the way to it.
+	zone *zone
 	// inFlight are the requests that this instance has there.
 	inFlight map[*Ticket]struct{}
 	// others is the number of requests of other instances there, as of seen.
