--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -35,8 +35,9 @@
 			}
 		}
 		i.core.SetMembers(members)
-		i.chooseWatchers(peers)
-		i.noteIsolation(peers)
+		all := append([]fleet.Peer{{Registration: i.self, Report: i.report(), Alive: true}}, peers...)
+		i.chooseWatchers(all)
+		i.noteIsolation(all)
 		select {
 		case <-ctx.Done():
 			return
@@ -45,11 +46,12 @@
 	}
 }
 
-// noteIsolation tells the core whether changes of upstreams may be missed for long.
-func (i *Instance) noteIsolation(peers []fleet.Peer) {
-	isolated := fleet.Isolated(append([]fleet.Peer{{Registration: i.self, Report: i.report(), Alive: true}}, peers...))
+// noteIsolation tells the core whether changes of upstreams may be missed for long,
+// given all instances.
+func (i *Instance) noteIsolation(all []fleet.Peer) {
+	isolated := fleet.Isolated(all)
 	if i.core.SetIsolated(isolated) {
-		i.events.Log(event.IsolationChanged, "isolated", isolated, "peers", len(peers))
+		i.events.Log(event.IsolationChanged, "isolated", isolated, "peers", len(all)-1)
 	}
 }
 
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -123,10 +123,8 @@
 	}
 }
 
-// chooseWatchers decides whether this instance is a watcher.
-func (i *Instance) chooseWatchers(peers []fleet.Peer) {
-	self := fleet.Peer{Registration: i.self, Report: i.report(), Alive: true}
-	all := append([]fleet.Peer{self}, peers...)
+// chooseWatchers decides whether this instance is a watcher, given all instances.
+func (i *Instance) chooseWatchers(all []fleet.Peer) {
 	w := &i.watching
 	for topic := range fleet.Topics {
 		chosen := slices.Contains(fleet.Watchers(topic, all, watchers), i.self.Name)
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -25,6 +25,13 @@
 
 // echoTCP answers each byte with itself.
 func echoTCP(t *testing.T) string {
+	return serveTCP(t, func(conn net.Conn) {
+		io.Copy(conn, conn) //nolint:errcheck // ends with the connection
+	})
+}
+
+// serveTCP hands each connection to a function, and closes it behind that.
+func serveTCP(t *testing.T, serve func(conn net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -37,8 +44,8 @@
 				return
 			}
 			go func() {
-				io.Copy(conn, conn) //nolint:errcheck // ends with the connection
-				_ = conn.Close()
+				defer func() { _ = conn.Close() }()
+				serve(conn)
 			}()
 		}
 	}()
--- a/internal/lab/link/wire_test.go
+++ b/internal/lab/link/wire_test.go
@@ -83,29 +83,15 @@
 
 // countTCP counts the bytes that arrive.
 func countTCP(t *testing.T) (string, *atomic.Int64) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
 	var got atomic.Int64
-	go func() {
+	address := serveTCP(t, func(conn net.Conn) {
 		for {
-			conn, err := ln.Accept()
+			n, err := conn.Read(make([]byte, 8))
+			got.Add(int64(n))
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				for {
-					n, err := conn.Read(make([]byte, 8))
-					got.Add(int64(n))
-					if err != nil {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String(), &got
+	})
+	return address, &got
 }
--- a/internal/steering/cold.go
+++ b/internal/steering/cold.go
@@ -15,16 +15,22 @@
 
 // coldRate is the rate of requests that this instance may send to a cold upstream.
 func (c *Core) coldRate(u *upstream) float64 {
-	rate := 0.0
-	if c.table != nil {
-		rate = c.table.Services[u.Service].ColdRate
-	}
+	rate := c.statedColdRate(u)
 	if rate <= 0 {
 		rate = coldRateGuess
 	}
 	return coldPart * rate
 }
 
+// statedColdRate is what the configuration says a cold upstream bears, or not above
+// 0 where it says nothing.
+func (c *Core) statedColdRate(u *upstream) float64 {
+	if c.table == nil {
+		return 0
+	}
+	return c.table.Services[u.Service].ColdRate
+}
+
 // warmsUp reports whether this instance is the one that sends requests to a cold
 // upstream: the first by rank among the members nearest to it.
 func (c *Core) warmsUp(u *upstream) bool {
@@ -43,35 +49,30 @@
 	return best == c.config.Instance
 }
 
-// unseenRate returns the rate and the burst of requests that this instance may send
-// to an upstream that may have become cold unseen: its share of what all instances
-// together may send to a cold one. It reports false where there is no such bound.
+// unseenRate returns the rate and the burst of requests that this instance may send,
+// while it is isolated, to an upstream that may have become cold unseen: its share
+// of what all instances together may send to a cold one. It reports false where
+// there is no such bound.
 func (c *Core) unseenRate(u *upstream) (rate, burst float64, bounded bool) {
 	b := c.config.Bounds
-	if c.table == nil || b.ColdRatio <= 0 {
-		return 0, 0, false
-	}
-	cold := c.table.Services[u.Service].ColdRate
-	if cold <= 0 {
+	if !c.isolated || b.ColdRatio <= 0 {
 		return 0, 0, false
 	}
+	cold := c.statedColdRate(u)
 	share := coldPart / float64(len(c.members))
-	return share * cold * b.ColdRatio, max(share*b.ColdSlack, 1), true
+	return share * cold * b.ColdRatio, max(share*b.ColdSlack, 1), cold > 0
 }
 
 // isFullUnseen reports whether the upstream has had as many requests of late as one
-// may get that became cold while this instance is isolated.
+// may get that became cold unseen.
 func (c *Core) isFullUnseen(now time.Time, u *upstream) bool {
-	if !c.isolated {
-		return false
-	}
 	rate, burst, bounded := c.unseenRate(u)
 	return bounded && u.unseen.Wait(now, 1, rate, burst) > 0
 }
 
 // noteUnseen books a request to an upstream.
 func (c *Core) noteUnseen(now time.Time, u *upstream) {
-	if rate, burst, bounded := c.unseenRate(u); c.isolated && bounded {
+	if rate, burst, bounded := c.unseenRate(u); bounded {
 		u.unseen.Take(now, 1, rate, burst)
 	}
 }
