Bound answers without end

Cause: the client of upstreams read headers of any length (net/http.ReadResponse has no bound) and held up to 1 MB of each body, for any number of attempts at once; a caller's request body could drip without a limit of time; headers of the store, of peers and of the operators' interface had the default limit of 10 MB.

Change: a connection to an upstream may bring 64 KiB of header and 64 MiB of body; long bodies are held only within the memory for bodies, else passed on as they come; such an upstream is left alone like one that fails, also when its other answers are sound, and when a body that was passed on does not end. A caller's body has until the deadline of its request (408: not run); a caller that takes nothing for a minute is given up. Headers of other answers are bounded by their transports.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -43,8 +43,9 @@
 	// maxFailedAnswers is how many instances may answer with a failure of
 	// theirs, such as the platform's outage, before the command gives up.
 	maxFailedAnswers = 2
-	// maxAnswerBytes bounds an answer.
+	// maxAnswerBytes bounds an answer, maxHeaderBytes its header.
 	maxAnswerBytes = 16 << 20
+	maxHeaderBytes = 64 << 10
 	operationBytes = 16
 )
 
@@ -115,6 +116,8 @@
 		TLSClientConfig:     secure,
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		TLSHandshakeTimeout: handshakeTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	return c, nil
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,9 +19,6 @@
 var Error = errs.Class("exchange")
 
 const (
-	// wholeBody is the size up to which an answer is read whole before it is
-	// used, in bytes, so that a broken one can be told from a good one.
-	wholeBody = 1 << 20
 	// inlineBody is the size up to which a request is written before its answer is
 	// read: it fits into the buffers of a connection.
 	inlineBody = 8 << 10
@@ -45,6 +42,13 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time
+	// Reserve asks for memory to hold a long answer, in bytes. Without it, or when
+	// it reports false, what does not fit is left in Result.Rest. It may be nil:
+	// then there is always enough.
+	Reserve func(bytes int64) bool
+	// BrokenOff is told when the upstream does not bring Result.Rest to its end.
+	// It may be nil.
+	BrokenOff func()
 }
 
 // Result is what became of an attempt.
@@ -103,7 +107,7 @@
 	r, keep := c.exchange(ctx, conn, a)
 	r.Opened, r.Kept = opened, kept
 	if r.Rest != nil {
-		r.Rest = &rest{ReadCloser: r.Rest, conn: conn, stop: stop}
+		r.Rest = &rest{body: r.Rest, conn: conn, stop: stop, brokenOff: a.BrokenOff}
 		return r
 	}
 	if !stop() {
@@ -154,6 +158,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		reason = work.ReasonCanceled
+	case isOverlong(err):
+		reason = work.ReasonUpstreamOverlong
 	case errors.As(err, &timeout) && timeout.Timeout():
 		reason = work.ReasonUpstreamTimeout
 	}
@@ -178,10 +184,7 @@
 		}
 		return unknown(ctx, err), 0
 	}
-	r, keep := c.accept(ctx, resp)
-	if r.Rest == nil {
-		_ = resp.Body.Close()
-	}
+	r, keep := c.accept(ctx, a, resp)
 	select {
 	case s := <-sent:
 		if s.err != nil {
@@ -233,8 +236,9 @@
 // answers to other requests.
 func (c *Client) receive(conn *connection, a *Attempt) (*http.Response, error) {
 	request := &http.Request{Method: a.Method}
+	conn.allow(maxHead)
 	for range maxForeign + 1 {
-		resp, err := http.ReadResponse(conn.reader, request)
+		resp, err := http.ReadResponse(conn.reader, request) //nolint:bodyclose // the connection is reset where it is not read to its end
 		if err != nil {
 			return nil, err
 		}
@@ -243,15 +247,17 @@
 		}
 		id := c.dialect.Answer(resp.StatusCode, resp.Header).RequestID
 		if id == a.ID || id == "" && !conn.tainted() {
+			conn.allow(MaxAnswer - int64(conn.reader.Buffered()))
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeBody)); err != nil {
+		conn.allow(wholeBody)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
-		resp.Body.Close()
 		if lasts(resp) == 0 {
 			break
 		}
+		conn.allow(maxHead)
 	}
 	return nil, Error.New("the answers belong to other requests")
 }
@@ -261,8 +267,8 @@
 func (c *connection) tainted() bool { return !c.since.IsZero() }
 
 // accept reads the answer, whole unless it is long.
-func (c *Client) accept(ctx context.Context, resp *http.Response) (Result, time.Duration) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeBody+1))
+func (c *Client) accept(ctx context.Context, a *Attempt, resp *http.Response) (Result, time.Duration) {
+	body, complete, err := readWhole(resp.Body, resp.ContentLength, a.Reserve)
 	if err != nil {
 		return unknown(ctx, err), 0
 	}
@@ -270,7 +276,7 @@
 		Outcome: work.Run, Status: resp.StatusCode, Header: resp.Header, Body: body,
 		Verdict: c.dialect.Answer(resp.StatusCode, resp.Header),
 	}
-	if len(body) > wholeBody {
+	if !complete {
 		r.Rest = resp.Body
 		return r, 0
 	}
@@ -282,18 +288,3 @@
 	}
 	return r, lasts(resp)
 }
-
-// rest is the end of a long answer. Its connection is not used again.
-type rest struct {
-	io.ReadCloser
-	conn *connection
-	stop func() bool
-}
-
-// Close implements io.Closer.
-func (r *rest) Close() error {
-	r.stop()
-	// Part of the answer may still be due.
-	r.conn.abandon()
-	return nil
-}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -26,7 +26,7 @@
 
 // connection is one connection to an upstream. One attempt uses it at a time.
 type connection struct {
-	net.Conn
+	bounded
 	reader *bufio.Reader
 	// used is set once a request was sent on it.
 	used bool
@@ -121,7 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	c := &connection{bounded: bounded{Conn: conn}}
+	c.reader = bufio.NewReaderSize(&c.bounded, readBuffer)
+	return c, nil
 }
 
 // quiet reports whether nothing has arrived on an unused connection: neither
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -20,6 +20,8 @@
 	newsTimeout = time.Second
 	// maxNewsBytes bounds an answer in bytes: a full log of ordinary entries.
 	maxNewsBytes = 8 << 20
+	// maxNewsHeader bounds its header in bytes: it has some 200.
+	maxNewsHeader = 16 << 10
 	// headerProof carries the authenticator of an answer.
 	headerProof = "Proof"
 	// newsIdle closes unused connections between instances.
@@ -43,8 +45,11 @@
 	}
 	dialer := &net.Dialer{Timeout: newsTimeout}
 	n.http = &http.Client{
-		Timeout:   newsTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: newsIdle, DisableCompression: true},
+		Timeout: newsTimeout,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: newsIdle, DisableCompression: true,
+			MaxResponseHeaderBytes: maxNewsHeader,
+		},
 	}
 	return n
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -37,8 +37,12 @@
 	_, err := t.w.Write(r.Body)
 	if r.Rest != nil && err == nil {
 		if _, err = io.Copy(t.w, r.Rest); err != nil {
+			reason := work.ReasonCanceled
+			if exchange.IsBroken(err) {
+				reason = work.ReasonUpstreamBroken
+			}
 			// A part must not look like the whole.
-			t.abort(work.ReasonUpstreamBroken, err)
+			t.abort(reason, err)
 		}
 	}
 	t.log(r.Status, work.Run, "", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -35,7 +37,8 @@
 	// Ready reports whether the core knows all that decides where requests may go;
 	// nil means that it always does.
 	Ready func() bool
-	// BodyMemory bounds the bodies that are held at once, in bytes; 0 does not.
+	// BodyMemory bounds the bodies of requests and answers that are held at once, in
+	// bytes; 0 does not.
 	BodyMemory int64
 }
 
@@ -98,7 +101,7 @@
 		return
 	}
 	t.deadline = t.arrived.Add(patience(t.caller, t.route))
-	defer func() { g.held.Add(-t.reserved) }()
+	defer t.held.release(g)
 	if !t.readBody(table.Limits) {
 		return
 	}
@@ -140,7 +143,7 @@
 	caller   exchange.Caller
 	route    *routing.Route
 	body     []byte
-	reserved int64
+	held     holding
 	// service is the part of the route that the request belongs to, config the
 	// version of the configuration that it is handled by.
 	service string
@@ -163,19 +166,25 @@
 		t.fail(http.StatusRequestEntityTooLarge, work.ReasonBadRequest, nil)
 		return false
 	}
-	t.reserved = t.r.ContentLength
-	if t.reserved < 0 {
-		t.reserved = min(limit, unknownBody)
+	size := t.r.ContentLength
+	if size < 0 {
+		size = min(limit, unknownBody)
 	}
-	held := t.gateway.held.Add(t.reserved)
-	if most := t.gateway.BodyMemory; most > 0 && held > most && held > t.reserved {
+	if !t.held.reserveFirst(t.gateway, size) {
 		// Nothing was sent; the caller's body is not read.
 		t.w.Header().Set("Connection", "close")
 		t.refuse(http.StatusServiceUnavailable, work.ReasonTableFull, notReadyWait)
 		return false
 	}
+	reading := http.NewResponseController(t.w)
+	// Only a connection that another handler has taken over refuses a deadline.
+	_ = reading.SetReadDeadline(t.deadline)
 	body, err := io.ReadAll(io.LimitReader(t.r.Body, limit+1))
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		t.w.Header().Set("Connection", "close")
+		t.refuse(http.StatusRequestTimeout, work.ReasonDeadline, 0)
+		return false
 	case err != nil:
 		t.abort(work.ReasonCanceled, err)
 		return false
@@ -183,6 +192,8 @@
 		t.fail(http.StatusRequestEntityTooLarge, work.ReasonBadRequest, nil)
 		return false
 	}
+	// net/http goes on reading, to notice a caller that leaves.
+	_ = reading.SetReadDeadline(time.Time{})
 	t.body = body
 	return true
 }
@@ -205,11 +216,14 @@
 	return size
 }
 
-func (t *trip) attempt(u steering.Upstream) *exchange.Attempt {
+func (t *trip) attempt(d steering.Decision) *exchange.Attempt {
+	u := d.Target
 	return &exchange.Attempt{
 		Upstream: u.ID, Address: u.Address, ID: t.caller.ID,
 		Method: t.r.Method, Target: target(t.r), Host: t.r.Host,
 		Header: forwarded(t.r.Header), Body: t.body, Deadline: t.deadline,
+		Reserve:   func(bytes int64) bool { return t.held.reserve(t.gateway, bytes) },
+		BrokenOff: func() { t.gateway.Core.BrokeOff(time.Now(), d.Ticket) },
 	}
 }
 
--- a/internal/gateway/trip.go
+++ b/internal/gateway/trip.go
@@ -97,7 +97,7 @@
 	t := f.trip
 	f.flying++
 	f.request.Tried = append(f.request.Tried, d.Target.ID)
-	attempt := t.attempt(d.Target)
+	attempt := t.attempt(d)
 	if t.route.Kind.Idempotent() && t.route.MaxAttempts > 1 {
 		f.hedge.Reset(d.HedgeAfter)
 	}
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -22,6 +22,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes unused connections while no configuration bounds them.
 	idleTimeout = 120 * time.Second
+	// writeTimeout is how long a caller may take nothing of its answer: far longer
+	// than the longest that the users' callers wait for one.
+	writeTimeout = time.Minute
 	// limitMargin is for how much longer than the configuration says connections are
 	// kept, so that no caller meets one that is just being closed: a request may be
 	// on its way for a second when a packet is lost.
@@ -47,14 +50,28 @@
 // how long it may be unused and how long the header of a request may take.
 type callerConn struct {
 	net.Conn
-	// idle is set when the connection becomes unused, until its deadline is set.
+	// idle is set when the connection becomes unused, until its deadline is set;
+	// active while a request is handled.
 	idle   atomic.Bool
+	active atomic.Bool
 	limits func() routing.Limits
 }
 
+// Write implements io.Writer. A caller that takes nothing for long is given up.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline implements net.Conn. net/http sets one when the connection
-// becomes unused, one when the next request begins, and a past one to end a read.
+// becomes unused, one when the next request begins, and a past one to end a read;
+// the handler of a request sets its own.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if c.active.Load() {
+		return c.Conn.SetReadDeadline(t)
+	}
 	limits := c.limits()
 	limit := limits.HeaderTimeout
 	if c.idle.Swap(false) {
@@ -85,6 +102,7 @@
 func noteIdle(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok {
 		c.idle.Store(state == http.StateIdle)
+		c.active.Store(state == http.StateActive)
 	}
 }
 
--- a/internal/metrics/labels.go
+++ b/internal/metrics/labels.go
@@ -80,13 +80,13 @@
 	work.ReasonNoUpstream, work.ReasonNotOwner, work.ReasonNotReady, work.ReasonPeerUnreachable,
 	work.ReasonPeerBroken, work.ReasonPlatformUnreachable, work.ReasonQueueFull,
 	work.ReasonShiftCap, work.ReasonTableFull, work.ReasonUnknownService,
-	work.ReasonUpstreamBroken, work.ReasonUpstreamConnect, work.ReasonUpstreamShed,
-	work.ReasonUpstreamTimeout,
+	work.ReasonUpstreamBroken, work.ReasonUpstreamConnect,
+	work.ReasonUpstreamOverlong, work.ReasonUpstreamShed, work.ReasonUpstreamTimeout,
 )
 
 var (
-	knownCalls   = setOf("get", "list", "put", "delete", "watch", "instances")
-	knownResults = setOf("ok", "not found", "conflict", "throttled", "unavailable", "invalid")
+	knownCalls   = setOf("get", "list", "put", "delete", "watch", "probe", "instances")
+	knownResults = setOf("ok", "not found", "conflict", "throttled", "unavailable", "invalid", "compacted")
 )
 
 func setOf[T comparable](values ...T) map[T]bool {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -37,6 +37,8 @@
 				MaxIdleConnsPerHost: maxIdleConns,
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
+				// Headers of the platform are short; one without end must not take the memory.
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/platform/http_client.go
+++ b/internal/platform/http_client.go
@@ -22,6 +22,8 @@
 	watchWait = 20 * time.Second
 	// minWatchWait is the shortest time after which a watch is repeated.
 	minWatchWait = 100 * time.Millisecond
+	// maxHeaderBytes bounds the header of an answer, in bytes.
+	maxHeaderBytes = 64 << 10
 	// maxListBytes bounds the answer to a List, in bytes.
 	maxListBytes = 64 << 20
 )
--- a/internal/steering/done.go
+++ b/internal/steering/done.go
@@ -39,6 +39,9 @@
 		if ratio := float64(now.Sub(t.sent)) / float64(max(t.expected, 1)); ratio > 1 {
 			u.measure(now, ratio)
 		}
+	case r.Reason == work.ReasonUpstreamOverlong:
+		u.failed(now)
+		delete(u.warm, t.object)
 	default:
 		if u.answered.Before(t.sent) || r.Reason == work.ReasonUpstreamConnect {
 			u.failed(now)
@@ -50,6 +53,15 @@
 	}
 }
 
+// BrokeOff takes over that an upstream did not bring a long answer to its end,
+// whose beginning was taken for an answer.
+func (c *Core) BrokeOff(now time.Time, t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.upstream.failed(now)
+	delete(t.upstream.warm, t.object)
+}
+
 // answered learns from an answer.
 func (c *Core) answered(now time.Time, t *Ticket, r exchange.Result) {
 	u := t.upstream
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -91,8 +91,9 @@
 		dial:       dial,
 		transports: make(map[string]*http.Transport),
 		probes: &http.Transport{
-			DialContext:       dial,
-			DisableKeepAlives: true,
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -80,6 +80,7 @@
 	ReasonUnknownService      Reason = "unknown_service"
 	ReasonUpstreamBroken      Reason = "upstream_broken"
 	ReasonUpstreamConnect     Reason = "upstream_connect"
+	ReasonUpstreamOverlong    Reason = "upstream_overlong"
 	ReasonUpstreamShed        Reason = "upstream_shed"
 	ReasonUpstreamTimeout     Reason = "upstream_timeout"
 )
