Read from peers what the platform need not tell

Counted by cause on a small twin: each instance watched all four topics until it knew its peers (four calls), read every topic itself, registered in two calls when a former run was registered still, and read all upstreams again at the end of each evacuation.

Change: watchers are chosen once an instance knows its peers; what a peer of the region knows is read from it; at the first start of a deployment few instances read first; the list of instances tells whether to create or replace the registration; upstreams' entries as new as the end of an evacuation come from a watcher. A watcher no longer tells peers of entries that are missing right after an outage of the store while it keeps them itself.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -24,7 +24,10 @@
 	MemoryBytes int64
 	// MaxFiles is the number of file descriptors; 0 when unknown.
 	MaxFiles int
-	Bounds   Bounds
+	// FirstStart is set when the whole deployment starts for the first time: no
+	// instance is registered yet, and no caller waits.
+	FirstStart bool
+	Bounds     Bounds
 }
 
 // Place is where an instance, a caller or an upstream is.
--- a/internal/entry/platform_calls.go
+++ b/internal/entry/platform_calls.go
@@ -73,7 +73,7 @@
 // note counts a call. A call that the instance itself gave up says nothing of
 // the platform.
 func (p *platformCalls) note(ctx context.Context, call string, began time.Time, err error) {
-	p.count(call, resultOf(err), time.Since(began))
+	p.count(call, platform.ResultOf(err), time.Since(began))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -91,21 +91,3 @@
 		p.lostSince = time.Time{}
 	}
 }
-
-// resultOf names the result of a call for the metrics.
-func resultOf(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case platform.NotFound.Has(err):
-		return "not found"
-	case platform.Conflict.Has(err):
-		return "conflict"
-	case platform.Throttled.Has(err):
-		return "throttled"
-	case platform.Invalid.Has(err):
-		return "invalid"
-	default:
-		return "unavailable"
-	}
-}
--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -51,7 +51,10 @@
 // Replace brings the log to all objects as of a revision. What it held before
 // stays: the differences follow as one more batch, so that peers need not read
 // all objects whenever the platform has dropped the history of a quiet topic.
-func (l *ChangeLog) Replace(objects []platform.Object, revision int64) {
+//
+// Hold keeps objects that are missing: their absence is not believed yet and is no
+// news to peers.
+func (l *ChangeLog) Replace(objects []platform.Object, revision int64, hold bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	present := make(map[string]platform.Object, len(objects))
@@ -67,6 +70,13 @@
 		}
 		return
 	}
+	if hold {
+		for key, o := range l.objects {
+			if _, ok := present[key]; !ok {
+				present[key] = o
+			}
+		}
+	}
 	l.add(differences(l.objects, present), revision)
 	l.objects, l.latest = present, revision
 }
@@ -87,13 +97,18 @@
 	return changes
 }
 
-// Append adds what changed up to a revision.
-func (l *ChangeLog) Append(changes []platform.Change, revision int64) {
+// Append adds what changed up to a revision. Hold leaves out what was deleted, as
+// in Replace.
+func (l *ChangeLog) Append(changes []platform.Change, revision int64, hold bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.base < 0 || revision <= l.latest {
 		return
 	}
+	changes = slices.Clone(changes)
+	if hold {
+		changes = slices.DeleteFunc(changes, func(c platform.Change) bool { return c.Deleted })
+	}
 	for _, c := range changes {
 		if c.Deleted {
 			delete(l.objects, c.Object.Key)
@@ -101,7 +116,7 @@
 			l.objects[c.Object.Key] = c.Object
 		}
 	}
-	l.add(slices.Clone(changes), revision)
+	l.add(changes, revision)
 	l.latest = revision
 }
 
--- /dev/null
+++ b/internal/instance/feed.go
@@ -0,0 +1,228 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sycamoreledge.example/internal/event"
+	"sycamoreledge.example/internal/fleet"
+	store "sycamoreledge.example/internal/platform"
+)
+
+// sharedFeed reads a topic from the platform where this instance is a watcher,
+// and from peers otherwise.
+type sharedFeed struct {
+	store.Feed
+	instance *Instance
+	topic    fleet.Topic
+	// full holds all objects when a peer gave them; Snapshot returns them.
+	full *fleet.News
+	// read is set once all objects were read; fromPeer tells from whom the last
+	// reading came.
+	read     bool
+	fromPeer bool
+}
+
+// holds reports whether objects that are missing in the last reading may come back.
+func (f *sharedFeed) holds() bool {
+	return f.topic == fleet.TopicUpstreams && !f.fromPeer && time.Now().Before(f.instance.lapseEnds())
+}
+
+// Snapshot implements store.Feed.
+func (f *sharedFeed) Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	if !f.read {
+		f.full = f.start(ctx)
+	}
+	if f.full == nil {
+		objects, revision, err := f.Feed.Snapshot(ctx, kind)
+		f.instance.reach.noteAnswer(err)
+		f.fromPeer = false
+		f.read = f.read || err == nil
+		return objects, revision, err
+	}
+	full := f.full
+	f.full, f.fromPeer, f.read = nil, true, true
+	objects := make([]store.Object, len(full.Changes))
+	for i, c := range full.Changes {
+		objects[i] = c.Object
+	}
+	return objects, full.Revision, nil
+}
+
+// Changes implements store.Feed. What a peer knows comes first, also for a
+// watcher, whose own way to the platform may be worse. A wait of 0 asks whether
+// the platform answers again.
+func (f *sharedFeed) Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	w := &f.instance.watching
+	began, failed := time.Now(), false
+	for {
+		w.mu.Lock()
+		chosen, h, wanted := w.chosen[f.topic], w.hints[f.topic], w.wanted[f.topic]
+		if wanted <= after {
+			w.wanted[f.topic] = 0
+		}
+		w.mu.Unlock()
+		switch {
+		case wanted > after && wait > 0:
+			return f.catchUp(ctx, kind, after, wanted)
+		case h.revision > after && !failed:
+			changes, revision, err := f.ask(ctx, kind, h, after)
+			switch {
+			case err == nil && len(changes) == 0:
+				// The peer has read further and found nothing for this topic.
+				f.instance.read(f.topic, revision)
+				continue
+			case err == nil, store.Compacted.Has(err):
+				return changes, revision, err
+			}
+			f.instance.events.Log(event.PeerUnreachable, "peer", h.peer, "error", err)
+			failed = true
+		case failed, chosen && wait > 0:
+			changes, revision, err := f.watch(ctx, kind, after, min(wait, f.instance.watchWait(f.topic)))
+			if err != nil && ctx.Err() == nil && f.hinted(after) {
+				failed = false
+				continue
+			}
+			return changes, revision, err
+		case wait == 0 && f.mayProbe(kind, chosen, time.Since(began)):
+			return f.direct(ctx, kind, after, 0)
+		default:
+			if err := f.sleep(ctx, wait == 0); err != nil {
+				return nil, 0, store.Unavailable.Wrap(err)
+			}
+		}
+	}
+}
+
+// watch asks the platform itself. A hint of a peer ends it, but not before an
+// answer had the time to come: a series of changes must not end every call.
+func (f *sharedFeed) watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if store.Pause(ctx, watchLeast) != nil {
+			return
+		}
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-f.instance.watching.wake[f.topic]:
+				if f.hinted(after) {
+					cancel()
+				}
+			}
+		}
+	}()
+	return f.direct(ctx, kind, after, wait)
+}
+
+// direct asks the platform.
+func (f *sharedFeed) direct(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	changes, revision, err := f.Feed.Changes(ctx, kind, after, wait)
+	f.instance.reach.noteAnswer(err)
+	f.fromPeer = false
+	return changes, revision, err
+}
+
+const (
+	// catchUpPause is the time between two questions to a watcher, which needs some
+	// 300 ms to read all upstreams itself from a distant region.
+	catchUpPause = 250 * time.Millisecond
+	// catchUpTries is after how many the platform is asked.
+	catchUpTries = 8
+)
+
+// catchUp reads from a watcher what changed up to a revision, or has all objects
+// read from the platform.
+func (f *sharedFeed) catchUp(ctx context.Context, kind string, after, wanted int64) ([]store.Change, int64, error) {
+	w := &f.instance.watching
+	for try := range catchUpTries {
+		if err := store.Pause(ctx, catchUpPause); err != nil {
+			return nil, 0, store.Unavailable.Wrap(err)
+		}
+		w.mu.Lock()
+		names := w.watchers[f.topic]
+		w.mu.Unlock()
+		if len(names) == 0 || slices.Contains(names, f.instance.self.Name) {
+			break
+		}
+		changes, revision, err := f.ask(ctx, kind, hint{peer: names[try%len(names)]}, after)
+		switch {
+		case store.Compacted.Has(err):
+			return nil, 0, err
+		case err != nil:
+			f.instance.events.Log(event.PeerUnreachable, "peer", names[try%len(names)], "error", err)
+		case len(changes) > 0:
+			// What is still wanted then is asked for again.
+			return changes, revision, nil
+		case revision >= wanted:
+			w.settle(f.topic, wanted)
+			f.instance.readAsOf(f.topic, revision)
+			return nil, revision, nil
+		}
+	}
+	w.settle(f.topic, wanted)
+	return nil, 0, store.Compacted.New("%s: no watcher has read up to revision %d", kind, wanted)
+}
+
+// hinted reports whether a peer knows more.
+func (f *sharedFeed) hinted(after int64) bool {
+	w := &f.instance.watching
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hints[f.topic].revision > after
+}
+
+// mayProbe reports whether it is this instance's turn to look whether the
+// platform answers again, after it has waited for a while.
+func (f *sharedFeed) mayProbe(kind string, chosen bool, waited time.Duration) bool {
+	if kind != scout && f.instance.scoutLost() {
+		return false
+	}
+	return chosen || waited >= probeInterval
+}
+
+// sleep waits for a hint, a change of the choice, or the end of the context.
+func (f *sharedFeed) sleep(ctx context.Context, probing bool) error {
+	var probe <-chan time.Time
+	if probing {
+		timer := time.NewTimer(probePoll)
+		defer timer.Stop()
+		probe = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-probe:
+	case <-f.instance.watching.wake[f.topic]:
+	}
+	return nil
+}
+
+// ask reads from a peer what it knows after a revision.
+func (f *sharedFeed) ask(ctx context.Context, kind string, h hint, after int64) ([]store.Change, int64, error) {
+	news, err := f.instance.news.Ask(ctx, h.peer, f.topic, after)
+	if ctx.Err() == nil {
+		f.clear(h)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	f.fromPeer = true
+	if news.Full {
+		f.full = &news
+		return nil, 0, store.Compacted.New("%s: %s gave all objects", kind, h.peer)
+	}
+	return news.Changes, news.Revision, nil
+}
+
+// clear forgets a hint that was followed, so that the same peer may give it again.
+func (f *sharedFeed) clear(h hint) {
+	w := &f.instance.watching
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hints[f.topic] == h {
+		w.hints[f.topic] = hint{}
+	}
+}
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -112,17 +112,19 @@
 
 // follow runs the follower of a topic.
 func (i *Instance) follow(ctx context.Context, topic fleet.Topic, kind string,
-	snapshot func([]store.Object, int64), changes func([]store.Change, int64)) {
+	snapshot func(objects []store.Object, revision int64, fromPeer bool),
+	changes func(list []store.Change, revision int64, fromPeer bool)) {
+	feed := &sharedFeed{Feed: i.store, instance: i, topic: topic}
 	f := &store.Follower{
-		Feed: &sharedFeed{Feed: i.store, instance: i, topic: topic}, Kind: kind,
+		Feed: feed, Kind: kind,
 		OnSnapshot: func(objects []store.Object, revision int64) {
-			snapshot(objects, revision)
-			i.news.Logs[topic].Replace(objects, revision)
+			snapshot(objects, revision, feed.fromPeer)
+			i.news.Logs[topic].Replace(objects, revision, feed.holds())
 			i.read(topic, revision)
 		},
 		OnChanges: func(list []store.Change, revision int64) {
-			changes(list, revision)
-			i.news.Logs[topic].Append(list, revision)
+			changes(list, revision, feed.fromPeer)
+			i.news.Logs[topic].Append(list, revision, feed.holds())
 			i.read(topic, revision)
 		},
 		OnLost:    func(err error) { i.storeLost(kind, err) },
@@ -142,18 +144,18 @@
 }
 
 func (i *Instance) followUpstreams(ctx context.Context) {
-	i.follow(ctx, fleet.TopicUpstreams, platform.KindUpstreams, func(objects []store.Object, revision int64) {
+	i.follow(ctx, fleet.TopicUpstreams, platform.KindUpstreams, func(objects []store.Object, revision int64, fromPeer bool) {
 		for _, o := range objects {
 			i.takeUpstream(o)
 		}
 		for _, id := range absent(i.core.Upstreams(), objects) {
-			i.dropUpstream(ctx, id, revision)
+			i.dropUpstream(ctx, id, revision, fromPeer)
 		}
 		i.upstreamsRead(revision)
-	}, func(list []store.Change, revision int64) {
+	}, func(list []store.Change, revision int64, fromPeer bool) {
 		for _, c := range list {
 			if c.Deleted {
-				i.dropUpstream(ctx, c.Object.Key, revision)
+				i.dropUpstream(ctx, c.Object.Key, revision, fromPeer)
 			} else {
 				i.takeUpstream(c.Object)
 			}
@@ -170,6 +172,14 @@
 	i.updateState()
 }
 
+// readAsOf notes that a topic was read up to a revision without a change.
+func (i *Instance) readAsOf(topic fleet.Topic, revision int64) {
+	if topic == fleet.TopicUpstreams {
+		i.upstreamsRead(revision)
+	}
+	i.read(topic, revision)
+}
+
 func (i *Instance) takeUpstream(o store.Object) {
 	u, err := platform.DecodeUpstream(o.Key, o.Value, i.place())
 	if err != nil {
@@ -184,10 +194,11 @@
 
 // dropUpstream forgets an upstream whose entry is gone. Right after an outage
 // of the store it waits whether the entry comes back: once the time for that is
-// over, all entries are read again, which is tried until it succeeds.
-func (i *Instance) dropUpstream(ctx context.Context, id string, revision int64) {
+// over, all entries are read again, which is tried until it succeeds. A peer that
+// read it from the store has waited already.
+func (i *Instance) dropUpstream(ctx context.Context, id string, revision int64, fromPeer bool) {
 	wait := time.Until(i.lapseEnds())
-	if wait <= 0 {
+	if wait <= 0 || fromPeer {
 		i.removeUpstream(id, revision)
 		return
 	}
@@ -226,12 +237,12 @@
 			i.events.Log(event.ConfigInForce, "version", table.Version, "source", "platform")
 		}
 	}
-	i.follow(ctx, fleet.TopicConfiguration, platform.KindConfiguration, func(objects []store.Object, _ int64) {
+	i.follow(ctx, fleet.TopicConfiguration, platform.KindConfiguration, func(objects []store.Object, _ int64, _ bool) {
 		for _, o := range objects {
 			take(o)
 		}
 		i.updateState()
-	}, func(list []store.Change, _ int64) {
+	}, func(list []store.Change, _ int64, _ bool) {
 		for _, c := range list {
 			if !c.Deleted {
 				take(c.Object)
@@ -249,9 +260,9 @@
 	finish := func(zone string, revision int64) {
 		i.events.Log(event.DrainEnded, "kind", "zone", "name", zone)
 		i.core.EndEvacuation(zone, revision)
-		i.watching.reread(fleet.TopicUpstreams)
+		i.watching.refresh(fleet.TopicUpstreams, revision)
 	}
-	i.follow(ctx, fleet.TopicEvacuations, platform.KindEvacuations, func(objects []store.Object, revision int64) {
+	i.follow(ctx, fleet.TopicEvacuations, platform.KindEvacuations, func(objects []store.Object, revision int64, _ bool) {
 		for _, o := range objects {
 			begin(o.Key)
 		}
@@ -262,7 +273,7 @@
 		i.seen.evacuations = true
 		i.seen.mu.Unlock()
 		i.updateState()
-	}, func(list []store.Change, revision int64) {
+	}, func(list []store.Change, revision int64, _ bool) {
 		for _, c := range list {
 			if c.Deleted {
 				finish(c.Object.Key, revision)
@@ -293,16 +304,21 @@
 		}
 		if r.Name != i.self.Name {
 			i.table.Register(time.Now(), r)
+			return
+		}
+		if r.Incarnation != i.self.Incarnation {
+			i.watching.formerRun.Store(true)
 		}
 	}
-	i.follow(ctx, fleet.TopicInstances, kindInstances, func(objects []store.Object, _ int64) {
+	i.follow(ctx, fleet.TopicInstances, kindInstances, func(objects []store.Object, _ int64, _ bool) {
 		for _, o := range objects {
 			take(o)
 		}
 		for _, name := range absent(i.table.Names(), objects) {
 			i.table.Remove(name)
 		}
-	}, func(list []store.Change, _ int64) {
+		i.watching.peersRead()
+	}, func(list []store.Change, _ int64, _ bool) {
 		for _, c := range list {
 			if c.Deleted {
 				i.table.Remove(c.Object.Key)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,6 +23,7 @@
 	"sycamoreledge.example/internal/fleet"
 	"sycamoreledge.example/internal/gateway"
 	"sycamoreledge.example/internal/metrics"
+	store "sycamoreledge.example/internal/platform"
 	"sycamoreledge.example/internal/steering"
 	"sycamoreledge.example/platform"
 )
@@ -150,17 +151,23 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	i.store.Observe = func(call string, err error, took time.Duration) {
+		i.metrics.PlatformCall(call, store.ResultOf(err), took)
+	}
 	i.gateway = gateway.New(gateway.Options{
 		Core: i.core, Sender: i.exchange, Dialect: platform.Headers{}, Events: events, Metrics: i.metrics,
 		Ready:      func() bool { return i.currentState() != fleet.Starting },
 		BodyMemory: int64(math.Round(bodyShare * float64(place.MemoryBytes))),
 	})
 	i.table = fleet.NewTable()
-	i.watching.init()
+	i.watching.init(place.FirstStart)
 	i.news = fleet.NewNewsroom(&i.self, i.table)
 	i.beats = &fleet.Beats{
 		Self: &i.self, Table: i.table, Report: i.report, Heard: i.heard,
-		Refused: func(err error) { events.Log(event.BeatRefused, "error", err) },
+		Refused: func(err error) {
+			i.watching.strangers.Store(true)
+			events.Log(event.BeatRefused, "error", err)
+		},
 	}
 	return i, nil
 }
--- a/internal/instance/lapse_test.go
+++ b/internal/instance/lapse_test.go
@@ -49,7 +49,7 @@
 					return
 				}
 				for _, id := range i.core.Upstreams() {
-					i.dropUpstream(ctx, id, revision)
+					i.dropUpstream(ctx, id, revision, false)
 				}
 			},
 		}
@@ -59,7 +59,7 @@
 		// The platform is back for a second, and the upstreams' entries have lapsed.
 		i.reach.returned = time.Now().Add(-time.Second)
 		for _, id := range ids {
-			i.dropUpstream(ctx, id, 10)
+			i.dropUpstream(ctx, id, 10, false)
 		}
 		g.Expect(i.core.Upstreams()).To(gomega.HaveLen(3), "their entries may come back")
 		time.Sleep(lapseGrace + 5*time.Second)
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -36,7 +36,7 @@
 		}
 		i.core.SetMembers(members)
 		all := append([]fleet.Peer{{Registration: i.self, Report: i.report(), Alive: true}}, peers...)
-		i.chooseWatchers(all)
+		i.chooseWatchers(now, all)
 		i.noteIsolation(all)
 		select {
 		case <-ctx.Done():
@@ -68,9 +68,13 @@
 		i.events.Log(event.RegistrationFailed, "error", err)
 		return
 	}
+	if !i.watching.firstStart {
+		// The list tells whether a former run is registered still.
+		i.watching.awaitPeers(ctx)
+	}
 	backoff := store.Backoff{Min: registerRetryMin, Max: registerRetryMax}
 	for {
-		revision, err := i.store.Put(ctx, kindInstances, i.self.Name, value)
+		revision, err := i.store.Put(ctx, kindInstances, i.self.Name, value, i.watching.formerRun.Load())
 		if err == nil {
 			i.registered.Store(revision)
 			return
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -1,12 +1,10 @@
 package instance
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"sycamoreledge.example/internal/event"
 	"sycamoreledge.example/internal/fleet"
 	store "sycamoreledge.example/internal/platform"
 )
@@ -45,15 +43,22 @@
 	// chosen are the topics for which this instance is a watcher.
 	chosen [fleet.Topics]bool
 	hints  [fleet.Topics]hint
-	// wake is signalled when a hint arrives or the choice changes.
+	// wanted are the revisions as of which a topic must be read once more, from a
+	// watcher; watchers are those of the others.
+	wanted   [fleet.Topics]int64
+	watchers [fleet.Topics][]string
+	// wake is signalled when a hint arrives, the choice changes or a revision is
+	// wanted.
 	wake [fleet.Topics]chan struct{}
+	starting
 }
 
-func (w *watching) init() {
+func (w *watching) init(firstStart bool) {
 	w.followers = make(map[fleet.Topic]*store.Follower)
 	for topic := range w.wake {
 		w.wake[topic] = make(chan struct{}, 1)
 	}
+	w.starting.init(firstStart)
 }
 
 func (w *watching) add(topic fleet.Topic, f *store.Follower) {
@@ -72,6 +77,22 @@
 	}
 }
 
+// refresh has a topic read as of a revision at least: a watcher asks the platform
+// for all objects, and the others ask it.
+func (w *watching) refresh(topic fleet.Topic, revision int64) {
+	w.mu.Lock()
+	chosen := w.chosen[topic]
+	if !chosen {
+		w.wanted[topic] = max(w.wanted[topic], revision)
+	}
+	w.mu.Unlock()
+	if chosen {
+		w.reread(topic)
+	} else {
+		w.signal(topic)
+	}
+}
+
 func (w *watching) signal(topic fleet.Topic) {
 	select {
 	case w.wake[topic] <- struct{}{}:
@@ -124,13 +145,17 @@
 }
 
 // chooseWatchers decides whether this instance is a watcher, given all instances.
-func (i *Instance) chooseWatchers(all []fleet.Peer) {
+func (i *Instance) chooseWatchers(now time.Time, all []fleet.Peer) {
 	w := &i.watching
+	if !w.knowsPeers(now.Sub(i.began)) {
+		return
+	}
 	for topic := range fleet.Topics {
-		chosen := slices.Contains(fleet.Watchers(topic, all, watchers), i.self.Name)
+		names := fleet.Watchers(topic, all, watchers)
+		chosen := slices.Contains(names, i.self.Name)
 		w.mu.Lock()
 		changed := chosen != w.chosen[topic]
-		w.chosen[topic] = chosen
+		w.chosen[topic], w.watchers[topic] = chosen, names
 		w.mu.Unlock()
 		if changed {
 			w.signal(topic)
@@ -138,161 +163,6 @@
 	}
 }
 
-// sharedFeed reads a topic from the platform where this instance is a watcher,
-// and from peers otherwise.
-type sharedFeed struct {
-	store.Feed
-	instance *Instance
-	topic    fleet.Topic
-	// full holds all objects when a peer gave them; Snapshot returns them.
-	full *fleet.News
-}
-
-// Snapshot implements store.Feed.
-func (f *sharedFeed) Snapshot(ctx context.Context, kind string) ([]store.Object, int64, error) {
-	if f.full == nil {
-		objects, revision, err := f.Feed.Snapshot(ctx, kind)
-		f.instance.reach.noteAnswer(err)
-		return objects, revision, err
-	}
-	full := f.full
-	f.full = nil
-	objects := make([]store.Object, len(full.Changes))
-	for i, c := range full.Changes {
-		objects[i] = c.Object
-	}
-	return objects, full.Revision, nil
-}
-
-// Changes implements store.Feed. What a peer knows comes first, also for a
-// watcher, whose own way to the platform may be worse. A wait of 0 asks whether
-// the platform answers again.
-func (f *sharedFeed) Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
-	w := &f.instance.watching
-	began, failed := time.Now(), false
-	for {
-		w.mu.Lock()
-		chosen, h := w.chosen[f.topic], w.hints[f.topic]
-		w.mu.Unlock()
-		switch {
-		case h.revision > after && !failed:
-			changes, revision, err := f.ask(ctx, kind, h, after)
-			switch {
-			case err == nil && len(changes) == 0:
-				// The peer has read further and found nothing for this topic.
-				f.instance.read(f.topic, revision)
-				continue
-			case err == nil, store.Compacted.Has(err):
-				return changes, revision, err
-			}
-			f.instance.events.Log(event.PeerUnreachable, "peer", h.peer, "error", err)
-			failed = true
-		case failed, chosen && wait > 0:
-			changes, revision, err := f.watch(ctx, kind, after, min(wait, f.instance.watchWait(f.topic)))
-			if err != nil && ctx.Err() == nil && f.hinted(after) {
-				failed = false
-				continue
-			}
-			return changes, revision, err
-		case wait == 0 && f.mayProbe(kind, chosen, time.Since(began)):
-			return f.direct(ctx, kind, after, 0)
-		default:
-			if err := f.sleep(ctx, wait == 0); err != nil {
-				return nil, 0, store.Unavailable.Wrap(err)
-			}
-		}
-	}
-}
-
-// watch asks the platform itself. A hint of a peer ends it, but not before an
-// answer had the time to come: a series of changes must not end every call.
-func (f *sharedFeed) watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		if store.Pause(ctx, watchLeast) != nil {
-			return
-		}
-		for ctx.Err() == nil {
-			select {
-			case <-ctx.Done():
-			case <-f.instance.watching.wake[f.topic]:
-				if f.hinted(after) {
-					cancel()
-				}
-			}
-		}
-	}()
-	return f.direct(ctx, kind, after, wait)
-}
-
-// direct asks the platform.
-func (f *sharedFeed) direct(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
-	changes, revision, err := f.Feed.Changes(ctx, kind, after, wait)
-	f.instance.reach.noteAnswer(err)
-	return changes, revision, err
-}
-
-// hinted reports whether a peer knows more.
-func (f *sharedFeed) hinted(after int64) bool {
-	w := &f.instance.watching
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.hints[f.topic].revision > after
-}
-
-// mayProbe reports whether it is this instance's turn to look whether the
-// platform answers again, after it has waited for a while.
-func (f *sharedFeed) mayProbe(kind string, chosen bool, waited time.Duration) bool {
-	if kind != scout && f.instance.scoutLost() {
-		return false
-	}
-	return chosen || waited >= probeInterval
-}
-
-// sleep waits for a hint, a change of the choice, or the end of the context.
-func (f *sharedFeed) sleep(ctx context.Context, probing bool) error {
-	var probe <-chan time.Time
-	if probing {
-		timer := time.NewTimer(probePoll)
-		defer timer.Stop()
-		probe = timer.C
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-probe:
-	case <-f.instance.watching.wake[f.topic]:
-	}
-	return nil
-}
-
-// ask reads from a peer what it knows after a revision.
-func (f *sharedFeed) ask(ctx context.Context, kind string, h hint, after int64) ([]store.Change, int64, error) {
-	news, err := f.instance.news.Ask(ctx, h.peer, f.topic, after)
-	if ctx.Err() == nil {
-		f.clear(h)
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	if news.Full {
-		f.full = &news
-		return nil, 0, store.Compacted.New("%s: %s gave all objects", kind, h.peer)
-	}
-	return news.Changes, news.Revision, nil
-}
-
-// clear forgets a hint that was followed, so that the same peer may give it again.
-func (f *sharedFeed) clear(h hint) {
-	w := &f.instance.watching
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.hints[f.topic] == h {
-		w.hints[f.topic] = hint{}
-	}
-}
-
 // watchWait is how long a watcher waits for changes before it asks again.
 func (i *Instance) watchWait(topic fleet.Topic) time.Duration {
 	bounds := i.place().Bounds
@@ -307,3 +177,12 @@
 	}
 	return time.Duration(watchPart * float64(within))
 }
+
+// settle notes that a topic has been read up to a revision, or will be.
+func (w *watching) settle(topic fleet.Topic, wanted int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.wanted[topic] <= wanted {
+		w.wanted[topic] = 0
+	}
+}
--- a/internal/instance/watching_test.go
+++ b/internal/instance/watching_test.go
@@ -36,7 +36,7 @@
 func newSharedFeed() (*sharedFeed, *countedFeed) {
 	i := &Instance{events: event.Discard(), table: fleet.NewTable()}
 	i.current.Store(&deployment.Deployment{})
-	i.watching.init()
+	i.watching.init(false)
 	i.news = fleet.NewNewsroom(&i.self, i.table)
 	counted := &countedFeed{}
 	return &sharedFeed{Feed: counted, instance: i, topic: fleet.TopicUpstreams}, counted
@@ -92,8 +92,8 @@
 	server := httptest.NewServer(room)
 	defer server.Close()
 	teller.Peers = strings.TrimPrefix(server.URL, "http://")
-	room.Logs[fleet.TopicUpstreams].Replace(nil, 5)
-	room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 9}}}, 9)
+	room.Logs[fleet.TopicUpstreams].Replace(nil, 5, false)
+	room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 9}}}, 9, false)
 	feed.instance.table.Register(time.Now(), teller)
 	feed.instance.watching.chosen[fleet.TopicUpstreams] = true
 	feed.instance.heard("peer", fleet.Report{Revisions: [fleet.Topics]int64{9}})
@@ -184,8 +184,8 @@
 	}))
 	defer server.Close()
 	teller.Peers = strings.TrimPrefix(server.URL, "http://")
-	room.Logs[fleet.TopicUpstreams].Replace(nil, 5)
-	room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 9}}}, 9)
+	room.Logs[fleet.TopicUpstreams].Replace(nil, 5, false)
+	room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 9}}}, 9, false)
 	feed.instance.table.Register(time.Now(), teller)
 	done := make(chan struct{})
 	defer close(done)
@@ -219,7 +219,7 @@
 	}))
 	defer server.Close()
 	teller.Peers = strings.TrimPrefix(server.URL, "http://")
-	room.Logs[fleet.TopicUpstreams].Replace(nil, 9)
+	room.Logs[fleet.TopicUpstreams].Replace(nil, 9, false)
 	feed.instance.table.Register(time.Now(), teller)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -227,7 +227,7 @@
 		defer close(ended)
 		_, _, _ = feed.Changes(ctx, "k", 9, time.Hour)
 	}()
-	room.Logs[fleet.TopicUpstreams].Append(nil, 10)
+	room.Logs[fleet.TopicUpstreams].Append(nil, 10, false)
 	report := fleet.Report{Revisions: [fleet.Topics]int64{10}}
 	feed.instance.heard("peer", report)
 	g.Eventually(asked).Should(gomega.Receive())
@@ -249,7 +249,7 @@
 	start := func(revision int64) *Instance {
 		feed, _ := newSharedFeed()
 		for topic := range fleet.Topics {
-			feed.instance.news.Logs[topic].Replace(objects, revision)
+			feed.instance.news.Logs[topic].Replace(objects, revision, false)
 			feed.instance.read(topic, revision)
 		}
 		return feed.instance
@@ -281,7 +281,7 @@
 	// The change that one of them reads is news to all members.
 	teller := old[0]
 	old = old[1:]
-	teller.news.Logs[fleet.TopicConfiguration].Append([]store.Change{{Object: store.Object{Key: "a", Version: 130}}}, 140)
+	teller.news.Logs[fleet.TopicConfiguration].Append([]store.Change{{Object: store.Object{Key: "a", Version: 130}}}, 140, false)
 	teller.read(fleet.TopicConfiguration, 140)
 	for _, i := range old {
 		i.heard("teller", teller.report())
--- /dev/null
+++ b/internal/platform/result.go
@@ -0,0 +1,21 @@
+package platform
+
+// ResultOf names the result of a call for the metrics.
+func ResultOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case NotFound.Has(err):
+		return "not found"
+	case Conflict.Has(err):
+		return "conflict"
+	case Throttled.Has(err):
+		return "throttled"
+	case Invalid.Has(err):
+		return "invalid"
+	case Compacted.Has(err):
+		return "compacted"
+	default:
+		return "unavailable"
+	}
+}
