Tell liveness within zones, and between them by digests of speakers

Cause: an instance sent a datagram to each other one, and a failure was known after three of the longest intervals and a look: 3.4 s at 195 instances.

Change: instances send heartbeats within their zone; two speakers of each exchange digests of their zones (an entry of 9 bytes an instance, a renewal where nothing changed) and pass them on within their own, always by the word of the zone itself. News of the platform go the same way: watchers tell their zone, speakers read from each other, and the others from their speakers.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http/httptest"
@@ -24,8 +25,17 @@
 
 func TestDatagramsProveTheirSender(t *testing.T) {
 	self := registration("a", "n1")
-	report := Report{State: Serving, Cut: true, InTouch: true, Revisions: [Topics]int64{3, 1 << 40, 0, 9}}
-	good := encode(&self, report, 5)
+	said := message{
+		kind: digest, name: "a", sequence: 5, edition: 6,
+		report: Report{State: Serving, Cut: true, InTouch: true, Revisions: [Topics]int64{3, 1 << 40, 0, 9}},
+		entries: []entry{
+			{incarnation: 7, report: Report{State: Serving, Cut: true}},
+			{incarnation: 1 << 60, report: Report{State: Leaving, InTouch: true}, silent: true},
+		},
+	}
+	beat := said
+	beat.kind, beat.entries = heartbeat, nil
+	good := encode(&self, said)
 	changed := func(at int) []byte {
 		b := append([]byte(nil), good...)
 		b[at] ^= 1
@@ -36,34 +46,61 @@
 	otherSecret.Secret = []byte("guess")
 	cases := []struct {
 		name string
-		beat []byte
-		good bool
+		data []byte
+		want *message
 	}{
-		{"whole", good, true},
-		{"another state", changed(1), false},
-		{"another revision", changed(revisionsAt + 3), false},
-		{"another version", changed(0), false},
-		{"cut short", good[:len(good)-1], false},
-		{"empty", nil, false},
-		{"another run", encode(&otherRun, report, 5), false},
-		{"another secret", encode(&otherSecret, report, 5), false},
-		{"not registered", encode(&Registration{Name: "x"}, report, 1), false},
+		{"digest", good, &said},
+		{"heartbeat", encode(&self, beat), &beat},
+		{"another kind", changed(1), nil},
+		{"another state", changed(statusAt), nil},
+		{"longer name", changed(nameLengthAt), nil},
+		{"another sequence", changed(sequenceAt + 7), nil},
+		{"another revision", changed(revisionsAt + 3), nil},
+		{"another entry", changed(nameAt + 1), nil},
+		{"another version", changed(0), nil},
+		{"cut short", good[:len(good)-1], nil},
+		{"without an entry", append(append([]byte(nil), good[:nameAt+1]...), good[len(good)-proofSize:]...), nil},
+		{"empty", nil, nil},
+		{"another run", encode(&otherRun, said), nil},
+		{"another secret", encode(&otherSecret, said), nil},
+		{"not registered", encode(&Registration{Name: "x"}, said), nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			name, got, err := decode(c.beat, func(name string) (Registration, bool) { return self, name == "a" })
-			if !c.good {
+			got, err := decode(c.data, func(name string) (Registration, bool) { return self, name == "a" })
+			if c.want == nil {
 				g.Expect(err).To(gomega.HaveOccurred())
 				return
 			}
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(name).To(gomega.Equal("a"))
-			g.Expect(got).To(gomega.Equal(report))
+			g.Expect(got).To(gomega.Equal(*c.want))
 		})
 	}
 }
 
+func TestBundles(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var bundled []byte
+	for n := byte(1); ; n++ {
+		next, ok := appendToBundle(bundled, bytes.Repeat([]byte{n}, 300))
+		if !ok {
+			break
+		}
+		bundled = next
+	}
+	g.Expect(len(bundled)).To(gomega.BeNumerically("<=", maxDatagram))
+	g.Expect(isBundle(bundled)).To(gomega.BeTrue())
+	parts, err := unbundle(bundled)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(parts).To(gomega.HaveLen(4))
+	g.Expect(parts[3]).To(gomega.Equal(bytes.Repeat([]byte{4}, 300)))
+	for _, length := range []int{len(bundled) - 1, bundleHead + 1, bundleHead + lengthBytes + 5} {
+		_, err := unbundle(bundled[:length])
+		g.Expect(err).To(gomega.HaveOccurred(), "%d bytes", length)
+	}
+}
+
 func TestSilentPeersFailAndReturn(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(100, 0)
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -82,7 +82,7 @@
 
 // proof binds an answer to its question and to the run that gave it.
 func proof(secret []byte, question string, body []byte) string {
-	return base64.StdEncoding.EncodeToString(digest(secret, append([]byte(question+"\n"), body...)))
+	return base64.StdEncoding.EncodeToString(proofOf(secret, append([]byte(question+"\n"), body...)))
 }
 
 // Ask reads what a peer knows of a topic after a revision.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -5,9 +5,9 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -67,9 +67,19 @@
 type row struct {
 	registration Registration
 	report       Report
-	// heard is when its last datagram arrived, since when it is in the table.
+	// heard is when its last datagram arrived, or the last digest that tells of it;
+	// since is when it came into the table.
 	heard time.Time
 	since time.Time
+	// listed is set when a digest told of it last, silent when its zone does not hear
+	// it.
+	listed bool
+	silent bool
+	// sequence is that of its last datagram; edition and entries are those of its last
+	// whole digest.
+	sequence uint64
+	edition  uint32
+	entries  []entry
 	// alive is what Changed told last.
 	alive bool
 }
@@ -78,10 +88,19 @@
 type Table struct {
 	mu   sync.Mutex
 	rows map[string]*row
+	// runs are the rows by incarnation, ordered those by name, and sizes their numbers
+	// by zone.
+	runs    map[uint64]*row
+	ordered []*row
+	sizes   map[string]int
+	// joined counts all runs that ever registered.
+	joined int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: make(map[string]*row)} }
+func NewTable() *Table {
+	return &Table{rows: make(map[string]*row), runs: make(map[uint64]*row), sizes: make(map[string]int)}
+}
 
 // Register adds a peer, or a new run of it.
 func (t *Table) Register(now time.Time, r Registration) {
@@ -91,14 +110,41 @@
 	if known != nil && known.registration.Incarnation == r.Incarnation {
 		return
 	}
-	t.rows[r.Name] = &row{registration: r, report: Report{State: Starting}, since: now}
+	t.remove(r.Name)
+	added := &row{registration: r, report: Report{State: Starting}, since: now}
+	t.rows[r.Name], t.runs[r.Incarnation] = added, added
+	at, _ := slices.BinarySearchFunc(t.ordered, r.Name, byName)
+	t.ordered = slices.Insert(t.ordered, at, added)
+	t.sizes[r.Place.Zone]++
+	t.joined++
+}
+
+func byName(r *row, name string) int { return cmp.Compare(r.registration.Name, name) }
+
+func (t *Table) remove(name string) {
+	r := t.rows[name]
+	if r == nil {
+		return
+	}
+	delete(t.runs, r.registration.Incarnation)
+	delete(t.rows, name)
+	at, _ := slices.BinarySearchFunc(t.ordered, name, byName)
+	t.ordered = slices.Delete(t.ordered, at, at+1)
+	t.sizes[r.registration.Place.Zone]--
+}
+
+// joinedSoFar counts all runs that ever registered.
+func (t *Table) joinedSoFar() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.joined
 }
 
 // Remove forgets a peer that is not registered any more.
 func (t *Table) Remove(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.rows, name)
+	t.remove(name)
 }
 
 // Names returns the names of all registered peers.
@@ -119,23 +165,73 @@
 	return r.registration, true
 }
 
-// Registrations returns those of all peers.
-func (t *Table) Registrations() []Registration {
+// Heard notes a heartbeat of a peer. It reports whether it tells something new.
+func (t *Table) Heard(now time.Time, name string, report Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[name]
+	if r == nil {
+		return false
+	}
+	changed := r.heard.IsZero() || status(r.report) != status(report) || !t.peer(now, r).Alive
+	r.heard, r.report, r.listed, r.silent = now, report, false, false
+	return changed
+}
+
+// isNew notes the sequence number of a datagram. It reports false for one that was
+// overtaken or arrived before.
+func (t *Table) isNew(name string, sequence uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]Registration, 0, len(t.rows))
-	for _, r := range t.rows {
-		list = append(list, r.registration)
+	r := t.rows[name]
+	if r == nil || sequence <= r.sequence {
+		return false
+	}
+	r.sequence = sequence
+	return true
+}
+
+// isRepeated reports whether a datagram looks like one that arrived before, which
+// need not be authenticated then.
+func (t *Table) isRepeated(datagram []byte) bool {
+	if len(datagram) < nameAt {
+		return false
 	}
-	return list
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.runs[binary.BigEndian.Uint64(datagram[incarnationAt:])]
+	return r != nil && binary.BigEndian.Uint64(datagram[sequenceAt:]) <= r.sequence
 }
 
-// Heard notes a datagram of a peer.
-func (t *Table) Heard(now time.Time, name string, report Report) {
+// listed takes over what a digest of a peer says of the instances of its zone. A
+// renewal of an edition that is not known tells of the peer alone.
+func (t *Table) listed(now time.Time, m message) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.rows[name]; r != nil {
-		r.heard, r.report = now, report
+	by := t.rows[m.name]
+	if by == nil {
+		return
+	}
+	entries := m.entries
+	switch {
+	case m.kind == digest:
+		by.edition, by.entries = m.edition, m.entries
+	case m.edition == by.edition:
+		entries = by.entries
+	default:
+		entries = []entry{{incarnation: by.registration.Incarnation, report: m.report}}
+	}
+	for _, e := range entries {
+		r := t.runs[e.incarnation]
+		// A zone is spoken for by its own instances only.
+		if r == nil || r.registration.Place.Zone != by.registration.Place.Zone {
+			continue
+		}
+		if r.silent = e.silent; !e.silent {
+			r.heard, r.listed = now, true
+			e.report.Revisions = r.report.Revisions
+			r.report = e.report
+		}
 	}
 }
 
@@ -153,11 +249,10 @@
 func (t *Table) Peers(now time.Time) []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	peers := make([]Peer, 0, len(t.rows))
-	for _, r := range t.rows {
-		peers = append(peers, t.peer(now, r))
+	peers := make([]Peer, len(t.ordered))
+	for i, r := range t.ordered {
+		peers[i] = t.peer(now, r)
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
 	return peers
 }
 
@@ -166,7 +261,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed []Peer
-	for _, r := range t.rows {
+	for _, r := range t.ordered {
 		if p := t.peer(now, r); p.Alive != r.alive {
 			r.alive = p.Alive
 			changed = append(changed, p)
@@ -175,7 +270,8 @@
 	return changed
 }
 
-// peer is what readers see of a row.
+// peer is what readers see of a row. Instances of the own zone send heartbeats to each other; of other zones digests tell, whose interval
+// grows with the number of all instances.
 func (t *Table) peer(now time.Time, r *row) Peer {
 	p := Peer{Registration: r.registration, Report: r.report, Silent: now.Sub(r.since)}
 	if r.heard.IsZero() {
@@ -183,7 +279,15 @@
 		return p
 	}
 	p.Silent = now.Sub(r.heard)
-	p.Alive = p.Silent <= silence*interval(len(t.rows))
+	limit := silence * interval(t.sizes[r.registration.Place.Zone])
+	if r.listed {
+		limit = silence * interval(len(t.rows))
+		if r.silent {
+			// Another speaker of the zone may still hear it.
+			limit = interval(len(t.rows)) * 3 / 2
+		}
+	}
+	p.Alive = p.Silent <= limit
 	return p
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -163,7 +163,7 @@
 	i.watching.init(place.FirstStart)
 	i.news = fleet.NewNewsroom(&i.self, i.table)
 	i.beats = &fleet.Beats{
-		Self: &i.self, Table: i.table, Report: i.report, Heard: i.heard,
+		Spread: &fleet.Spread{Self: &i.self, Table: i.table, Report: i.report, Heard: i.heard},
 		Refused: func(err error) {
 			i.watching.strangers.Store(true)
 			events.Log(event.BeatRefused, "error", err)
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -43,6 +43,8 @@
 	// chosen are the topics for which this instance is a watcher.
 	chosen [fleet.Topics]bool
 	hints  [fleet.Topics]hint
+	// far are the last changes that other zones know.
+	far [fleet.Topics]int64
 	// wanted are the revisions as of which a topic must be read once more, from a
 	// watcher; watchers are those of the others.
 	wanted   [fleet.Topics]int64
@@ -100,8 +102,8 @@
 	}
 }
 
-// read notes as of which revision a topic was read. A watcher tells its peers at
-// once.
+// read notes as of which revision a topic was read. A watcher tells its zone at
+// once, and a speaker other zones, too.
 func (i *Instance) read(topic fleet.Topic, revision int64) {
 	w := &i.watching
 	w.mu.Lock()
@@ -111,7 +113,7 @@
 	}
 	chosen := w.chosen[topic]
 	w.mu.Unlock()
-	if newer && chosen {
+	if newer && (chosen || i.beats.Speaks()) {
 		i.beats.Prompt()
 	}
 }
@@ -128,8 +130,33 @@
 	return r
 }
 
-// heard notes that a peer knows a change that this instance has not read.
-func (i *Instance) heard(peer string, r fleet.Report) {
+// farHint is after how long an instance asks another zone for a change that nobody of
+// its own zone has told it: its speakers need a round trip between regions and a new
+// connection.
+const farHint = 400 * time.Millisecond
+
+// heard takes over a report of a peer. One of another zone that was passed on counts
+// only once those of the own zone had time to read what it hints at.
+func (i *Instance) heard(peer string, r fleet.Report, near bool) {
+	if near {
+		i.hint(peer, r)
+		return
+	}
+	w := &i.watching
+	w.mu.Lock()
+	newer := false
+	for topic, revision := range r.Revisions {
+		newer = newer || revision > w.revisions[topic] && revision > w.far[topic]
+		w.far[topic] = max(w.far[topic], revision)
+	}
+	w.mu.Unlock()
+	if newer {
+		time.AfterFunc(farHint, func() { i.hint(peer, r) })
+	}
+}
+
+// hint notes that a peer knows a change that this instance has not read.
+func (i *Instance) hint(peer string, r fleet.Report) {
 	w := &i.watching
 	for topic, revision := range r.Revisions {
 		w.mu.Lock()
--- a/internal/instance/watching_test.go
+++ b/internal/instance/watching_test.go
@@ -38,6 +38,7 @@
 	i.current.Store(&deployment.Deployment{})
 	i.watching.init(false)
 	i.news = fleet.NewNewsroom(&i.self, i.table)
+	i.beats = &fleet.Beats{Spread: &fleet.Spread{Self: &i.self, Table: i.table}}
 	counted := &countedFeed{}
 	return &sharedFeed{Feed: counted, instance: i, topic: fleet.TopicUpstreams}, counted
 }
@@ -96,7 +97,7 @@
 	room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 9}}}, 9, false)
 	feed.instance.table.Register(time.Now(), teller)
 	feed.instance.watching.chosen[fleet.TopicUpstreams] = true
-	feed.instance.heard("peer", fleet.Report{Revisions: [fleet.Topics]int64{9}})
+	feed.instance.heard("peer", fleet.Report{Revisions: [fleet.Topics]int64{9}}, true)
 	for _, wait := range []time.Duration{time.Hour, 0} {
 		changes, revision, err := feed.Changes(t.Context(), "k", 5, wait)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -111,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		feed, counted := newSharedFeed()
-		feed.instance.heard("unknown", fleet.Report{Revisions: [fleet.Topics]int64{9}})
+		feed.instance.heard("unknown", fleet.Report{Revisions: [fleet.Topics]int64{9}}, true)
 		began := time.Now()
 		_, _, err := feed.Changes(t.Context(), "k", 5, time.Hour)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -158,7 +159,7 @@
 		go func() {
 			for revision := int64(10); ctx.Err() == nil; revision++ {
 				slow.changed <- revision
-				feed.instance.heard("unknown", fleet.Report{Revisions: [fleet.Topics]int64{revision}})
+				feed.instance.heard("unknown", fleet.Report{Revisions: [fleet.Topics]int64{revision}}, true)
 				_ = store.Pause(ctx, 10*time.Millisecond)
 			}
 		}()
@@ -191,7 +192,7 @@
 	defer close(done)
 	go func() {
 		for revision := int64(9); ; revision++ {
-			feed.instance.heard("peer", fleet.Report{Revisions: [fleet.Topics]int64{revision}})
+			feed.instance.heard("peer", fleet.Report{Revisions: [fleet.Topics]int64{revision}}, true)
 			select {
 			case <-done:
 				return
@@ -229,10 +230,10 @@
 	}()
 	room.Logs[fleet.TopicUpstreams].Append(nil, 10, false)
 	report := fleet.Report{Revisions: [fleet.Topics]int64{10}}
-	feed.instance.heard("peer", report)
+	feed.instance.heard("peer", report, true)
 	g.Eventually(asked).Should(gomega.Receive())
 	g.Consistently(func() int {
-		feed.instance.heard("peer", report)
+		feed.instance.heard("peer", report, true)
 		return len(asked)
 	}, 200*time.Millisecond).Should(gomega.BeZero())
 	cancel()
@@ -271,8 +272,8 @@
 	for n := range starting {
 		newcomer := start(int64(100 + n))
 		for _, i := range old {
-			i.heard("newcomer", newcomer.report())
-			newcomer.heard("member", i.report())
+			i.heard("newcomer", newcomer.report(), true)
+			newcomer.heard("member", i.report(), true)
 		}
 		g.Expect(newcomer.watching.hints).To(gomega.Equal([fleet.Topics]hint{}))
 	}
@@ -284,7 +285,7 @@
 	teller.news.Logs[fleet.TopicConfiguration].Append([]store.Change{{Object: store.Object{Key: "a", Version: 130}}}, 140, false)
 	teller.read(fleet.TopicConfiguration, 140)
 	for _, i := range old {
-		i.heard("teller", teller.report())
+		i.heard("teller", teller.report(), true)
 	}
 	g.Expect(hinted()).To(gomega.Equal(members - 1))
 }
