--- a/internal/instance/starting.go
+++ b/internal/instance/starting.go
@@ -61,7 +61,13 @@
 }
 
 // peersRead notes that the registered instances are known.
-func (s *starting) peersRead() { s.listOnce.Do(func() { close(s.listed) }) }
+func (s *starting) peersRead() {
+	s.listOnce.Do(func() {
+		// Whoever was heard before is in the list, or will be heard again.
+		s.strangers.Store(false)
+		close(s.listed)
+	})
+}
 
 // awaitPeers waits until the registered instances are known, or the platform is slow
 // to tell.
--- a/internal/instance/starting_test.go
+++ b/internal/instance/starting_test.go
@@ -123,8 +123,10 @@
 		i := feed.instance
 		i.began = time.Now()
 		alone := []fleet.Peer{{Registration: i.self, Alive: true}}
+		i.watching.strangers.Store(true)
 		chosen := func() bool { return slices.Contains(i.watching.chosen[:], true) }
 		i.watching.peersRead()
+		g.Expect(i.watching.strangers.Load()).To(gomega.BeFalse(), "heard before the list was read")
 		i.chooseWatchers(time.Now(), alone)
 		g.Expect(chosen()).To(gomega.BeFalse())
 		time.Sleep(settling)
