--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -119,8 +119,7 @@
 func (s *Spread) Tick(now time.Time, prompt bool) ([]Datagram, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	peers := s.Table.Peers(now)
-	mates := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Place.Zone != s.Self.Place.Zone })
+	mates := s.Table.zonePeers(now, s.Self.Place.Zone)
 	self := Peer{Registration: *s.Self, Report: s.Report(), Alive: true}
 	var out []Datagram
 	if prompt || !now.Before(s.beatAt) {
@@ -131,10 +130,10 @@
 			out = append(out, Datagram{p.Peers, beat})
 		}
 	}
-	zone := speakers(s.Self.Place.Zone, append(mates, self))
+	zone := speakers(s.Self.Place.Zone, append(slices.Clone(mates), self))
 	own := slices.IndexFunc(zone, func(p Peer) bool { return p.Name == s.Self.Name })
 	if s.speaks = own >= 0; s.speaks {
-		out = append(out, s.digests(now, prompt, self, mates, peers, own, len(zone))...)
+		out = append(out, s.digests(now, prompt, self, mates, own, len(zone))...)
 	}
 	if len(s.passing) > 0 && !now.Before(s.passAt) {
 		for _, data := range s.passing {
@@ -165,7 +164,7 @@
 // digests returns those that are due to the speakers of other zones. They are due in
 // intervals and when they say something new. The speakers of two zones pair off, so
 // that each zone gets two by different ways.
-func (s *Spread) digests(now time.Time, prompt bool, self Peer, mates, peers []Peer, own, speaking int) []Datagram {
+func (s *Spread) digests(now time.Time, prompt bool, self Peer, mates []Peer, own, speaking int) []Datagram {
 	entries := entriesOf(append(slices.Clone(mates), self))
 	changed := !slices.Equal(entries, s.told)
 	if changed || prompt {
@@ -174,11 +173,13 @@
 	if now.Before(s.digestAt) {
 		return nil
 	}
-	if joined := s.Table.joinedSoFar(); changed || joined != s.joined {
+	known, joined := s.Table.known()
+	if changed || joined != s.joined {
 		s.edition++
 		s.issued, s.joined = 0, joined
 	}
-	s.digested, s.digestAt, s.told = now, now.Add(interval(len(peers))), entries
+	s.digested, s.digestAt, s.told = now, now.Add(interval(known)), entries
+	peers := s.Table.Peers(now)
 	datagrams := s.makeDigests(self, entries)
 	s.issued++
 	s.round++
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -133,13 +133,6 @@
 	t.sizes[r.registration.Place.Zone]--
 }
 
-// joinedSoFar counts all runs that ever registered.
-func (t *Table) joinedSoFar() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.joined
-}
-
 // Remove forgets a peer that is not registered any more.
 func (t *Table) Remove(name string) {
 	t.mu.Lock()
@@ -256,6 +249,26 @@
 	return peers
 }
 
+// zonePeers returns the peers of a zone by name.
+func (t *Table) zonePeers(now time.Time, zone string) []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make([]Peer, 0, t.sizes[zone])
+	for _, r := range t.ordered {
+		if r.registration.Place.Zone == zone {
+			peers = append(peers, t.peer(now, r))
+		}
+	}
+	return peers
+}
+
+// known returns the number of peers, and of all runs that ever registered.
+func (t *Table) known() (peers, joined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows), t.joined
+}
+
 // Changed returns the peers whose aliveness changed since its last call.
 func (t *Table) Changed(now time.Time) []Peer {
 	t.mu.Lock()
