--- a/internal/lab/baseline/pool.go
+++ b/internal/lab/baseline/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -109,6 +110,9 @@
 	p.report(m, live, load.Busy >= load.Slots)
 }
 
+// maxReportBytes bounds a report: it has some 50.
+const maxReportBytes = 4 << 10
+
 // read fetches a report.
 func read(ctx context.Context, client *http.Client, address, path string, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -122,7 +126,7 @@
 		return Error.Wrap(err)
 	}
 	defer resp.Body.Close()
-	return Error.Wrap(json.NewDecoder(resp.Body).Decode(v))
+	return Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(v))
 }
 
 // pools returns the upstreams of each service in the region of an entry, or
--- a/internal/lab/baseline/proxy.go
+++ b/internal/lab/baseline/proxy.go
@@ -198,8 +198,8 @@
 		return r
 	}
 	defer r.Body.Close()
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil || len(data) > maxBody {
 		return work.Uncertain(work.ReasonUpstreamBroken)
 	}
 	r.Body, r.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
--- a/internal/lab/caller/client.go
+++ b/internal/lab/caller/client.go
@@ -71,6 +71,12 @@
 	At  time.Time
 }
 
+// Bounds of answers, in bytes: the longest that upstreams of the lab send has 3 MB.
+const (
+	maxHeaderBytes = 64 << 10
+	maxAnswerBytes = 64 << 20
+)
+
 // Client sends requests to entries from one availability zone.
 type Client struct {
 	http *http.Client
@@ -82,7 +88,10 @@
 func NewClient(latency func(address string) time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: 2 * time.Second}
 	return &Client{
-		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: 30 * time.Second}},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: 30 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 		latency: latency,
 	}
 }
@@ -111,7 +120,10 @@
 		return failed(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = Error.New("an answer of more than %d bytes", maxAnswerBytes)
+	}
 	pause(ctx, c.latency(address))
 	return read(resp, body, err, call)
 }
@@ -254,7 +266,7 @@
 	if resp.StatusCode/100 != 2 {
 		return Error.New("%s %s: status %d", method, target, resp.StatusCode)
 	}
-	return Error.Wrap(json.NewDecoder(resp.Body).Decode(v))
+	return Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(v))
 }
 
 // pause waits for d or until ctx ends.
