Let news go on while the end of a drain is read from a watcher

A zone's evacuation ends while the watchers of upstreams are cut off one after the other. Each instance asked them up to eight times, with 250 ms between and 700 ms for each question to a cut peer, and took no other news meanwhile; whole zones then read all upstreams from the store at once and got 503.

Change: what is wanted from a watcher is asked for beside other news, for 3 s in all; each third question goes to an instance of the region, which may know it already.

--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"sycamoreledge.example/internal/event"
@@ -22,6 +21,8 @@
 	// reading came.
 	read     bool
 	fromPeer bool
+	// catching is what is to be read from a watcher.
+	catching catchUp
 }
 
 // holds reports whether objects that are missing in the last reading may come back.
@@ -64,8 +65,6 @@
 		}
 		w.mu.Unlock()
 		switch {
-		case wanted > after && wait > 0:
-			return f.catchUp(ctx, kind, after, wanted)
 		case h.revision > after && !failed:
 			changes, revision, err := f.ask(ctx, kind, h, after)
 			switch {
@@ -78,6 +77,13 @@
 			}
 			f.instance.events.Log(event.PeerUnreachable, "peer", h.peer, "error", err)
 			failed = true
+		case wanted > after && chosen && wait > 0:
+			w.settle(f.topic, wanted)
+			return nil, 0, store.Compacted.New("%s: a watcher reads up to revision %d itself", kind, wanted)
+		case wanted > after && !failed && f.catching.isDue(time.Now(), wanted):
+			if changes, revision, done, err := f.catchUp(ctx, kind, after); done {
+				return changes, revision, err
+			}
 		case failed, chosen && wait > 0:
 			changes, revision, err := f.watch(ctx, kind, after, min(wait, f.instance.watchWait(f.topic)))
 			if err != nil && ctx.Err() == nil && f.hinted(after) {
@@ -88,7 +94,7 @@
 		case wait == 0 && f.mayProbe(kind, chosen, time.Since(began)):
 			return f.direct(ctx, kind, after, 0)
 		default:
-			if err := f.sleep(ctx, wait == 0); err != nil {
+			if err := f.sleep(ctx, wait == 0 || wanted > after); err != nil {
 				return nil, 0, store.Unavailable.Wrap(err)
 			}
 		}
@@ -129,41 +135,72 @@
 	// catchUpPause is the time between two questions to a watcher, which needs some
 	// 300 ms to read all upstreams itself from a distant region.
 	catchUpPause = 250 * time.Millisecond
-	// catchUpTries is after how many the platform is asked.
-	catchUpTries = 8
+	// catchUpFor is after how long the platform is asked: time for two watchers that
+	// fail to be replaced.
+	catchUpFor = 3 * time.Second
 )
 
-// catchUp reads from a watcher what changed up to a revision, or has all objects
-// read from the platform.
-func (f *sharedFeed) catchUp(ctx context.Context, kind string, after, wanted int64) ([]store.Change, int64, error) {
-	w := &f.instance.watching
-	for try := range catchUpTries {
-		if err := store.Pause(ctx, catchUpPause); err != nil {
-			return nil, 0, store.Unavailable.Wrap(err)
-		}
-		w.mu.Lock()
-		names := w.watchers[f.topic]
-		w.mu.Unlock()
-		if len(names) == 0 || slices.Contains(names, f.instance.self.Name) {
-			break
-		}
-		changes, revision, err := f.ask(ctx, kind, hint{peer: names[try%len(names)]}, after)
+// catchUp is a topic that must be read as of a revision at least.
+type catchUp struct {
+	wanted int64
+	since  time.Time
+	next   time.Time
+	tries  int
+}
+
+// isDue reports whether a peer should be asked now for what is wanted.
+func (c *catchUp) isDue(now time.Time, wanted int64) bool {
+	if wanted != c.wanted {
+		*c = catchUp{wanted: wanted, since: now, next: now.Add(catchUpPause)}
+	}
+	return !now.Before(c.next)
+}
+
+// catchUp asks one peer for what changed up to a revision: a watcher, or an instance
+// of the zone that may have asked one. It reports whether the topic is up to date or
+// has changed; all objects are read from the platform when no peer can tell in time.
+func (f *sharedFeed) catchUp(ctx context.Context, kind string, after int64) (changes []store.Change, revision int64, done bool, err error) {
+	w, c := &f.instance.watching, &f.catching
+	now := time.Now()
+	c.tries++
+	c.next = now.Add(catchUpPause)
+	if peer := f.instance.teller(f.topic, c.tries); peer != "" {
+		changes, revision, err = f.ask(ctx, kind, hint{peer: peer}, after)
 		switch {
-		case store.Compacted.Has(err):
-			return nil, 0, err
-		case err != nil:
-			f.instance.events.Log(event.PeerUnreachable, "peer", names[try%len(names)], "error", err)
-		case len(changes) > 0:
+		case store.Compacted.Has(err), err == nil && len(changes) > 0:
 			// What is still wanted then is asked for again.
-			return changes, revision, nil
-		case revision >= wanted:
-			w.settle(f.topic, wanted)
+			return changes, revision, true, err
+		case err == nil && revision >= c.wanted:
+			w.settle(f.topic, c.wanted)
 			f.instance.readAsOf(f.topic, revision)
-			return nil, revision, nil
+			return nil, revision, true, nil
+		case err != nil:
+			f.instance.events.Log(event.PeerUnreachable, "peer", peer, "error", err)
 		}
 	}
-	w.settle(f.topic, wanted)
-	return nil, 0, store.Compacted.New("%s: no watcher has read up to revision %d", kind, wanted)
+	if now.Sub(c.since) < catchUpFor {
+		return nil, 0, false, nil
+	}
+	w.settle(f.topic, c.wanted)
+	return nil, 0, true, store.Compacted.New("%s: no peer has read up to revision %d", kind, c.wanted)
+}
+
+// teller returns the peer to ask in a try for what watchers have read, or "".
+func (i *Instance) teller(topic fleet.Topic, try int) string {
+	if try%3 == 0 {
+		for _, p := range i.startPeers() {
+			if p.State == fleet.Serving {
+				return p.Name
+			}
+		}
+	}
+	i.watching.mu.Lock()
+	defer i.watching.mu.Unlock()
+	names := i.watching.watchers[topic]
+	if len(names) == 0 || names[try%len(names)] == i.self.Name {
+		return ""
+	}
+	return names[try%len(names)]
 }
 
 // hinted reports whether a peer knows more.
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -177,6 +177,8 @@
 	if topic == fleet.TopicUpstreams {
 		i.upstreamsRead(revision)
 	}
+	// Peers may ask this instance in place of a watcher.
+	i.news.Logs[topic].Append(nil, revision, false)
 	i.read(topic, revision)
 }
 
--- a/internal/instance/starting_test.go
+++ b/internal/instance/starting_test.go
@@ -176,6 +176,30 @@
 	}
 }
 
+// TestNewsGoOnWhileADrainEnds has the watchers fail right after the end of a drain:
+// changes that others know must not wait until one of them can tell of it.
+func TestNewsGoOnWhileADrainEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	feed, counted := newSharedFeed()
+	i := feed.instance
+	i.core = newCore()
+	i.table.Register(time.Now(), fleet.Registration{Name: "w", Peers: "127.0.0.1:1", Incarnation: 5})
+	i.watching.watchers[fleet.TopicUpstreams] = []string{"w"}
+	room := teller(t, i.table, "p", "z", fleet.TopicUpstreams, store.Object{Key: "u", Version: 7})
+	i.watching.refresh(fleet.TopicUpstreams, 20)
+	time.AfterFunc(600*time.Millisecond, func() {
+		room.Logs[fleet.TopicUpstreams].Append([]store.Change{{Object: store.Object{Key: "u", Version: 15}}}, 15, false)
+		i.heard("p", fleet.Report{Revisions: [fleet.Topics]int64{15}}, true)
+	})
+	began := time.Now()
+	changes, revision, err := feed.Changes(t.Context(), "k", 9, time.Hour)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.HaveLen(1))
+	g.Expect(revision).To(gomega.Equal(int64(15)))
+	g.Expect(counted.calls).To(gomega.BeZero())
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 600*time.Millisecond+time.Second))
+}
+
 // TestMissingUpstreamsAreNoNewsWhileTheyMayComeBack has a watcher read entries right
 // after an outage of the platform: peers must not drop what it keeps itself.
 func TestMissingUpstreamsAreNoNewsWhileTheyMayComeBack(t *testing.T) {
