--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -78,7 +78,7 @@
 			f.instance.events.Log(event.PeerUnreachable, "peer", h.peer, "error", err)
 			failed = true
 		case wanted > after && chosen && wait > 0:
-			w.settle(f.topic, wanted)
+			w.fulfilled(f.topic, wanted)
 			return nil, 0, store.Compacted.New("%s: a watcher reads up to revision %d itself", kind, wanted)
 		case wanted > after && !failed && f.catching.isDue(time.Now(), wanted):
 			if changes, revision, done, err := f.catchUp(ctx, kind, after); done {
@@ -171,7 +171,7 @@
 			// What is still wanted then is asked for again.
 			return changes, revision, true, err
 		case err == nil && revision >= c.wanted:
-			w.settle(f.topic, c.wanted)
+			w.fulfilled(f.topic, c.wanted)
 			f.instance.readAsOf(f.topic, revision)
 			return nil, revision, true, nil
 		case err != nil:
@@ -181,7 +181,7 @@
 	if now.Sub(c.since) < catchUpFor {
 		return nil, 0, false, nil
 	}
-	w.settle(f.topic, c.wanted)
+	w.fulfilled(f.topic, c.wanted)
 	return nil, 0, true, store.Compacted.New("%s: no peer has read up to revision %d", kind, c.wanted)
 }
 
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -206,8 +206,8 @@
 	return time.Duration(watchPart * float64(within))
 }
 
-// settle notes that a topic has been read up to a revision, or will be.
-func (w *watching) settle(topic fleet.Topic, wanted int64) {
+// fulfilled notes that a topic has been read up to a revision, or will be.
+func (w *watching) fulfilled(topic fleet.Topic, wanted int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.wanted[topic] <= wanted {
