--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -283,8 +283,9 @@
 	return changed
 }
 
-// peer is what readers see of a row. Instances of the own zone send heartbeats to each other; of other zones digests tell, whose interval
-// grows with the number of all instances.
+// peer is what readers see of a row. Instances of the own zone send heartbeats to each
+// other; of other zones digests tell, whose interval grows with the number of all
+// instances.
 func (t *Table) peer(now time.Time, r *row) Peer {
 	p := Peer{Registration: r.registration, Report: r.report, Silent: now.Sub(r.since)}
 	if r.heard.IsZero() {
--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -157,7 +157,7 @@
 }
 
 // catchUp asks one peer for what changed up to a revision: a watcher, or an instance
-// of the zone that may have asked one. It reports whether the topic is up to date or
+// of the region that may have asked one. It reports whether the topic is up to date or
 // has changed; all objects are read from the platform when no peer can tell in time.
 func (f *sharedFeed) catchUp(ctx context.Context, kind string, after int64) (changes []store.Change, revision int64, done bool, err error) {
 	w, c := &f.instance.watching, &f.catching
