exchange: accept only responses that are proven to be the upstream's

Cause: the request ID was compared on reused connections only; on a new connection a response without an ID was taken for the answer. The signature was decoded and never read. The same trust applied to refusals (503 with the header of a request that was not run, 421) without an ID, which were taken as proof that an order had not run, and to signed-less successes with the right ID on any connection.

Change: a response must carry the ID of the attempt on every connection and with every status, a success also the signature; else the outcome is unknown. A response without the ID that ends its connection is not read to its end, since nothing can follow it.

Changed tests: the stand-ins of exchange and gateway sign their successes, since an unsigned one is no response any more. Their assertions are the same.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -18,8 +18,8 @@
 	"sycamoreledge.example/internal/work"
 )
 
-// attemptHeader carries the ID of the attempt that the tests send.
-const attemptHeader = "Id: a\r\n"
+// attemptHeader carries the ID of the attempt that the tests send, and a signature.
+const attemptHeader = "Id: a\r\nSignature: s\r\n"
 
 // responsesToOthers are endless responses with the IDs of other requests.
 var responsesToOthers = []endless.Answer{
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,9 +22,9 @@
 	// maxInlineBytes is the size in bytes up to which a request body is written before
 	// the response is read. It fits into the send buffer of a connection.
 	maxInlineBytes = 8 << 10
-	// maxStaleResponses limits how many responses to other requests are skipped on
-	// a connection before the attempt fails.
-	maxStaleResponses = 2
+	// maxSkippedResponses limits how many responses without the ID of the request are
+	// skipped on a connection before the attempt fails.
+	maxSkippedResponses = 2
 	// dialTimeout limits the time to open a connection. It allows for two round
 	// trips between distant regions and a busy upstream.
 	dialTimeout = 400 * time.Millisecond
@@ -34,7 +34,7 @@
 type Attempt struct {
 	Upstream string
 	Address  string
-	// ID is the request ID that the response must carry.
+	// ID is the request ID that the response must carry. It must not be empty.
 	ID       string
 	Method   string
 	Target   string
@@ -54,8 +54,9 @@
 // Result is the result of an attempt.
 type Result struct {
 	// Outcome is work.Run when the upstream responded, with any status, unless the
-	// response states that the request was not run. Reason says why it is not
-	// work.Run.
+	// response states that the request was not run. It is work.Unknown when the bytes
+	// received are not proven to be the response to this request. Reason says why it is
+	// not work.Run.
 	Outcome work.Outcome
 	Reason  work.Reason
 	// Status, Header and Body are the response.
@@ -176,7 +177,7 @@
 	} else {
 		go func() { sent <- send(conn, a, c.dialect) }()
 	}
-	resp, err := c.readResponse(conn, a) //nolint:bodyclose // closed below, or by whoever reads the rest
+	resp, info, err := c.readResponse(conn, a) //nolint:bodyclose // closed below, or by whoever reads the rest
 	if err != nil {
 		// The response may have failed because the request could not be sent, so the
 		// outcome depends on whether any byte of the request was sent.
@@ -186,7 +187,7 @@
 		}
 		return unknownResult(ctx, err), 0
 	}
-	r, idleFor := c.readResult(ctx, a, resp)
+	r, idleFor := readResult(ctx, a, resp, info)
 	select {
 	case s := <-sent:
 		if s.err != nil {
@@ -234,49 +235,53 @@
 	return sendResult{bytes: int(n), err: err}
 }
 
-// readResponse reads the header of the response to the attempt, and skips late
-// responses to earlier requests on the connection.
-func (c *Client) readResponse(conn *connection, a *Attempt) (*http.Response, error) {
+// readResponse reads the header of the response to the attempt, and skips responses that
+// do not carry its request ID. Only the ID proves that a response belongs to the request:
+// upstreams may send late responses to earlier requests, and faulty ones bytes that are no
+// response. A successful response must be signed by the upstream as well.
+func (c *Client) readResponse(conn *connection, a *Attempt) (*http.Response, ResponseInfo, error) {
 	request := &http.Request{Method: a.Method}
 	conn.setReadLimit(maxHeaderBytes)
-	for range maxStaleResponses + 1 {
+	skipped := 0
+	for range maxSkippedResponses + 1 {
 		resp, err := http.ReadResponse(conn.reader, request) //nolint:bodyclose // the connection is reset where it is not read to its end
 		if err != nil {
-			return nil, err
+			return nil, ResponseInfo{}, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		id := c.dialect.ParseResponse(resp.StatusCode, resp.Header).RequestID
-		if id == a.ID || id == "" && !conn.mayHoldStaleResponse() {
+		info := c.dialect.ParseResponse(resp.StatusCode, resp.Header)
+		if info.RequestID == a.ID {
+			if isSuccess(resp.StatusCode) && !info.Signed {
+				return nil, ResponseInfo{}, Error.New("response with status %d lacks the signature of the upstream", resp.StatusCode)
+			}
 			conn.setReadLimit(MaxResponseBytes - int64(conn.reader.Buffered()))
-			return resp, nil
+			return resp, info, nil
+		}
+		skipped++
+		if isLast(resp) {
+			break
 		}
 		conn.setReadLimit(maxBufferedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-		if idleTimeout(resp) == 0 {
-			break
+			return nil, ResponseInfo{}, err
 		}
 		conn.setReadLimit(maxHeaderBytes)
 	}
-	return nil, Error.New("no response to this request: the responses received carry other request IDs or none")
+	return nil, ResponseInfo{}, Error.New("no response to this request: %d responses with other request IDs or none", skipped)
 }
 
-// mayHoldStaleResponse reports whether a response without a request ID may belong
-// to an earlier request on the connection.
-func (c *connection) mayHoldStaleResponse() bool { return !c.idleSince.IsZero() }
+func isSuccess(status int) bool { return status/100 == 2 }
 
 // readResult reads the body, completely unless it is long, and returns the result.
-func (c *Client) readResult(ctx context.Context, a *Attempt, resp *http.Response) (Result, time.Duration) {
+func readResult(ctx context.Context, a *Attempt, resp *http.Response, info ResponseInfo) (Result, time.Duration) {
 	buffered, complete, err := readBody(resp.Body, resp.ContentLength, a.Reserve)
 	if err != nil {
 		return unknownResult(ctx, err), 0
 	}
 	r := Result{
-		Outcome: work.Run, Status: resp.StatusCode, Header: resp.Header, Body: buffered,
-		Info: c.dialect.ParseResponse(resp.StatusCode, resp.Header),
+		Outcome: work.Run, Status: resp.StatusCode, Header: resp.Header, Body: buffered, Info: info,
 	}
 	if !complete {
 		r.UnreadBody = resp.Body
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -30,7 +30,7 @@
 
 func (dialect) ParseResponse(status int, h http.Header) exchange.ResponseInfo {
 	return exchange.ResponseInfo{
-		RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "" || status == http.StatusMisdirectedRequest,
+		RequestID: h.Get("Id"), Signed: h.Get("Signature") != "", NotRun: h.Get("Refused") != "" || status == http.StatusMisdirectedRequest,
 		WrongUpstream: status == http.StatusMisdirectedRequest,
 	}
 }
@@ -88,7 +88,7 @@
 }
 
 func response(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 func respondWith(text string, keep bool) responder {
@@ -113,20 +113,20 @@
 		body    string
 	}{
 		{"complete response", respondWith(response("{id}", "hello"), true), work.Run, "", "hello"},
-		{"response delimited by the end of the connection", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\n\r\nhello", false), work.Run, "", "hello"},
+		{"response delimited by the end of the connection", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\n\r\nhello", false), work.Run, "", "hello"},
 		{"interim response first", respondWith("HTTP/1.1 100 Continue\r\n\r\n"+response("{id}", "x"), true), work.Run, "", "x"},
 		{"server error", respondWith("HTTP/1.1 500 E\r\nId: {id}\r\nContent-Length: 0\r\n\r\n", true), work.Run, "", ""},
 		{"refusal without the not-run header", respondWith("HTTP/1.1 503 E\r\nId: {id}\r\nContent-Length: 0\r\n\r\n", true), work.Run, "", ""},
 		{"refusal", respondWith("HTTP/1.1 503 E\r\nId: {id}\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", true), work.NotRun, work.ReasonUpstreamShed, ""},
 		{"wrong upstream", respondWith("HTTP/1.1 421 M\r\nId: {id}\r\nContent-Length: 0\r\n\r\n", true), work.NotRun, work.ReasonNotOwner, ""},
-		{"truncated body", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nhell", false), work.Unknown, work.ReasonUpstreamBroken, ""},
+		{"truncated body", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhell", false), work.Unknown, work.ReasonUpstreamBroken, ""},
 		{"truncated header", respondWith("HTTP/1.1 200 OK\r\nId: ", false), work.Unknown, work.ReasonUpstreamBroken, ""},
 		{"no response", respondWith("", false), work.Unknown, work.ReasonUpstreamBroken, ""},
 		{"not HTTP", respondWith("\x00\x01 what\r\n\r\n", false), work.Unknown, work.ReasonUpstreamBroken, ""},
 		{"responses to other requests only", respondWith(response("other", "x"), false), work.Unknown, work.ReasonUpstreamBroken, ""},
-		{"truncated chunk", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", false), work.Unknown, work.ReasonUpstreamBroken, ""},
+		{"truncated chunk", respondWith("HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", false), work.Unknown, work.ReasonUpstreamBroken, ""},
 		{"reset without Content-Length", func(conn net.Conn, r *http.Request) bool {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhel")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n\r\nhel")
 			time.AfterFunc(50*time.Millisecond, func() { resetConn(conn) })
 			_, _ = conn.Read(make([]byte, 1))
 			return false
@@ -192,8 +192,8 @@
 
 func TestConnectionsThatAreNotReused(t *testing.T) {
 	cases := []struct{ name, answer string }{
-		{"connection close", "HTTP/1.1 200 OK\r\nId: {id}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
-		{"short keep-alive timeout", "HTTP/1.1 200 OK\r\nId: {id}\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"},
+		{"connection close", "HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+		{"short keep-alive timeout", "HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"},
 		{"extra bytes after the response", response("{id}", "x") + "HTTP/1.1 200 OK\r\n"},
 	}
 	for _, tc := range cases {
@@ -354,7 +354,7 @@
 		whole      bool
 	}{
 		{"with a Content-Length", response("{id}", long), true},
-		{"delimited by the end of the connection", "HTTP/1.1 200 OK\r\nId: {id}\r\n\r\n" + long, true},
+		{"delimited by the end of the connection", "HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\n\r\n" + long, true},
 		{"truncated", response("{id}", long)[:2<<20], false},
 	}
 	for _, c := range cases {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -152,7 +152,7 @@
 // idleTimeout returns how long a connection may stay idle after a response, or 0
 // when it must not be reused.
 func idleTimeout(resp *http.Response) time.Duration {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if isLast(resp) {
 		return 0
 	}
 	for _, line := range resp.Header["Keep-Alive"] {
@@ -165,3 +165,8 @@
 	}
 	return defaultIdleTimeout
 }
+
+// isLast reports whether no further response can follow on the connection.
+func isLast(resp *http.Response) bool {
+	return resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -34,14 +34,14 @@
 
 func (dialect) SetTarget(http.Header, string, time.Duration) {}
 func (dialect) ParseResponse(_ int, h http.Header) exchange.ResponseInfo {
-	return exchange.ResponseInfo{RequestID: h.Get("Id")}
+	return exchange.ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Signature") != ""}
 }
 
 // TestCallerDisconnectsFromEndlessResponse guards against reading on from an upstream after the
 // caller has disconnected while an endless response body is streamed to it.
 func TestCallerDisconnectsFromEndlessResponse(t *testing.T) {
 	for _, method := range []string{"GET /lookup/1", "POST /order/1"} {
-		for _, body := range endless.Bodies("Id: q1\r\n") {
+		for _, body := range endless.Bodies("Id: q1\r\nSignature: s\r\n") {
 			t.Run(method+" "+body.Name, func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				server, err := endless.New(body)
