fleet, instance: hand out changes as complete only up to withheld deletions

Cause: an instance that was cut off from the store withholds deletions from its peers for a grace period, since entries may have lapsed in an outage. It handed out the other changes with the revision up to which it had read. Peers took that as complete, so the report of a watcher that had the deletion counted as old, and the deletion, once confirmed, had a revision that they had read already.

Change: a change log knows the revision up to which it is complete and which deletions it withholds. Reports of an instance that withholds are marked as partial (a free bit of the status byte): peers fetch its other changes once, but stay at their revision, so that reports of complete peers are followed. Confirmed deletions are reported even when their revision is not new. Whether a missing upstream is kept and whether its deletion is withheld is decided once for each read; the grace period could end in between. Event 611 shows partial fetches.

Changed tests: TestLapsedUpstreamsAreDroppedDespiteNewOutage passes the grace period to dropUpstream, which no longer asks for it itself. Its assertions are the same.

--- a/internal/event/ids.go
+++ b/internal/event/ids.go
@@ -82,6 +82,7 @@
 	PeerImpostor        ID = 607
 	PeerUnreachable     ID = 609
 	BeatRefused         ID = 610
+	ChangesPartial      ID = 611
 )
 
 // Events of the area traffic and upstreams.
--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -25,10 +26,14 @@
 	// base is the revision after which the log holds every change, -1 before the first
 	// snapshot.
 	base int64
-	// latest is the revision up to which the log is complete, lastChange the revision of
-	// its last change.
-	latest      int64
-	lastChange  int64
+	// latest is the revision up to which changes were appended, lastChange the revision of
+	// the last of them.
+	latest     int64
+	lastChange int64
+	// complete is the revision up to which the log holds every change. It equals latest,
+	// unless deletions of objects after complete are withheld.
+	complete    int64
+	withheld    map[string]platform.Object
 	batches     []batch
 	changeCount int
 	// objects holds all objects as of latest, by key.
@@ -37,7 +42,8 @@
 
 // ChangeSet holds the changes after a revision.
 type ChangeSet struct {
-	// Revision is the revision up to which the set is complete.
+	// Revision is the revision up to which the set is complete. It may hold some later
+	// changes as well.
 	Revision int64 `json:"revision"`
 	// Full is set when Changes holds all objects instead of the changes, because the
 	// log does not reach back to the requested revision.
@@ -46,7 +52,7 @@
 }
 
 // NewChangeLog returns an empty log, without a snapshot.
-func NewChangeLog() *ChangeLog { return &ChangeLog{base: -1, latest: -1} }
+func NewChangeLog() *ChangeLog { return &ChangeLog{base: -1, latest: -1, complete: -1} }
 
 // Replace sets the log to a snapshot of all objects as of a revision. Earlier batches are
 // kept: the differences to the snapshot are appended as one more batch, so that peers need
@@ -54,7 +60,8 @@
 // rarely changes. A snapshot older than the log starts a new log.
 //
 // With ignoreDeletions, objects that are missing in the snapshot are kept and not reported
-// to peers as deleted, because they may come back.
+// to peers as deleted, because they may come back. The log is then complete only up to what
+// it held before, until a snapshot without ignoreDeletions, or without missing objects.
 func (l *ChangeLog) Replace(objects []platform.Object, revision int64, ignoreDeletions bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,23 +70,72 @@
 		present[o.Key] = o
 	}
 	if l.base < 0 || revision < l.latest {
-		l.base, l.latest, l.batches, l.changeCount = revision, revision, nil, 0
+		l.base, l.batches, l.changeCount = revision, nil, 0
 		l.objects, l.lastChange = present, 0
+		l.withheld = nil
+		l.advance(revision)
 		for _, o := range objects {
 			// A snapshot read in several calls may hold versions later than its revision.
 			l.lastChange = max(l.lastChange, min(o.Version, revision))
 		}
 		return
 	}
+	changes := diff(l.objects, present)
 	if ignoreDeletions {
-		for key, o := range l.objects {
-			if _, ok := present[key]; !ok {
+		maps.DeleteFunc(l.withheld, func(key string, _ platform.Object) bool { _, ok := present[key]; return ok })
+		changes = l.withholdDeletions(changes)
+		for key := range l.withheld {
+			if o, ok := l.objects[key]; ok {
 				present[key] = o
 			}
 		}
+	} else {
+		changes = append(changes, l.confirmDeletions(present)...)
 	}
-	l.add(diff(l.objects, present), revision)
-	l.objects, l.latest = present, revision
+	l.add(changes, revision)
+	l.objects = present
+	l.advance(revision)
+}
+
+// advance records that changes were read up to a revision.
+func (l *ChangeLog) advance(revision int64) {
+	l.latest = revision
+	if len(l.withheld) == 0 {
+		l.complete = revision
+	}
+}
+
+// withholdDeletions returns the changes without deletions, which it records as withheld.
+// Earlier changes of a deleted object are left out too: a peer that knows of the deletion
+// would take the object for a new one.
+func (l *ChangeLog) withholdDeletions(changes []platform.Change) []platform.Change {
+	var kept []platform.Change
+	for _, c := range changes {
+		if !c.Deleted {
+			kept = append(kept, c)
+			continue
+		}
+		kept = slices.DeleteFunc(kept, func(k platform.Change) bool { return k.Object.Key == c.Object.Key })
+		if l.withheld == nil {
+			l.withheld = make(map[string]platform.Object)
+		}
+		l.withheld[c.Object.Key] = c.Object
+	}
+	return kept
+}
+
+// confirmDeletions returns the deletions of withheld objects that are not among the present
+// ones and that the log no longer holds, so that they are no difference to it.
+func (l *ChangeLog) confirmDeletions(present map[string]platform.Object) []platform.Change {
+	var changes []platform.Change
+	for key, o := range l.withheld {
+		_, isPresent := present[key]
+		if _, held := l.objects[key]; !isPresent && !held {
+			changes = append(changes, platform.Change{Object: o, Deleted: true})
+		}
+	}
+	l.withheld = nil
+	return changes
 }
 
 // diff returns the changes that turn one set of objects into another.
@@ -98,8 +154,8 @@
 	return changes
 }
 
-// Append adds the changes up to a revision. With ignoreDeletions, deletions among them
-// are left out, as in Replace.
+// Append adds the changes up to a revision. With ignoreDeletions, objects that are deleted
+// among them are kept as they were, as in Replace.
 func (l *ChangeLog) Append(changes []platform.Change, revision int64, ignoreDeletions bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,9 +164,10 @@
 	}
 	changes = slices.Clone(changes)
 	if ignoreDeletions {
-		changes = slices.DeleteFunc(changes, func(c platform.Change) bool { return c.Deleted })
+		changes = l.withholdDeletions(changes)
 	}
 	for _, c := range changes {
+		delete(l.withheld, c.Object.Key)
 		if c.Deleted {
 			delete(l.objects, c.Object.Key)
 		} else {
@@ -118,7 +175,7 @@
 		}
 	}
 	l.add(changes, revision)
-	l.latest = revision
+	l.advance(revision)
 }
 
 // LastChange returns the revision of the last known change. An instance reports this to
@@ -130,6 +187,21 @@
 	return l.lastChange
 }
 
+// LastReport returns what an instance reports of a topic to its peers: LastChange, and
+// whether changes up to it are withheld, so that peers must read them elsewhere or later.
+func (l *ChangeLog) LastReport() (revision int64, partial bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastChange, l.lastChange > l.complete
+}
+
+// Withholding reports whether deletions are withheld from peers.
+func (l *ChangeLog) Withholding() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.withheld) > 0
+}
+
 // lastRevision returns the revision of the last of the given changes, which were read up
 // to a revision.
 func lastRevision(changes []platform.Change, revision int64) int64 {
@@ -168,7 +240,7 @@
 	if l.base < 0 {
 		return ChangeSet{}, false
 	}
-	set := ChangeSet{Revision: max(l.latest, after), Changes: []platform.Change{}}
+	set := ChangeSet{Revision: max(l.complete, after), Changes: []platform.Change{}}
 	if after >= l.base {
 		for _, b := range l.batches {
 			if b.revision > after {
@@ -177,7 +249,7 @@
 		}
 		return set, true
 	}
-	set.Full = true
+	set.Full, set.Revision = true, l.complete
 	for _, o := range l.objects {
 		set.Changes = append(set.Changes, platform.Change{Object: o})
 	}
--- a/internal/fleet/datagram.go
+++ b/internal/fleet/datagram.go
@@ -43,8 +43,14 @@
 	// Revisions are the revisions of the last changes that it knows, by topic; see
 	// ChangeLog.LastChange.
 	Revisions [TopicCount]int64
+	// UpstreamsPartial is set when deletions of upstreams up to their revision are withheld;
+	// see ChangeLog.LastReport.
+	UpstreamsPartial bool
 }
 
+// IsPartial reports whether the changes of a topic up to its revision are incomplete.
+func (r Report) IsPartial(topic Topic) bool { return topic == TopicUpstreams && r.UpstreamsPartial }
+
 // Topic is a kind of platform objects that instances follow.
 type Topic int
 
@@ -65,6 +71,9 @@
 	flagPlatformAnswered    = 0x20
 	// flagSilent is set in a digest for an instance from which its zone receives no heartbeats.
 	flagSilent = 0x40
+	// flagUpstreamsPartial is set only in the status of the sender, whose revisions it
+	// concerns.
+	flagUpstreamsPartial = 0x80
 )
 
 func encodeStatus(r Report) byte {
@@ -125,6 +134,9 @@
 	name := r.Name[:min(len(r.Name), maxNameLength)]
 	payload := make([]byte, nameOffset, nameOffset+len(name)+len(m.entries)*entrySize+tagSize)
 	payload[0], payload[1], payload[statusOffset], payload[nameLengthOffset] = datagramVersion, byte(m.kind), encodeStatus(m.report), byte(len(name))
+	if m.report.UpstreamsPartial {
+		payload[statusOffset] |= flagUpstreamsPartial
+	}
 	binary.BigEndian.PutUint64(payload[incarnationOffset:], r.Incarnation)
 	binary.BigEndian.PutUint64(payload[sequenceOffset:], m.sequence)
 	binary.BigEndian.PutUint32(payload[digestVersionOffset:], m.digestVersion)
@@ -175,6 +187,7 @@
 	m.sequence = binary.BigEndian.Uint64(payload[sequenceOffset:])
 	m.digestVersion = binary.BigEndian.Uint32(payload[digestVersionOffset:])
 	m.report = decodeStatus(payload[statusOffset])
+	m.report.UpstreamsPartial = payload[statusOffset]&flagUpstreamsPartial != 0
 	for i := range m.report.Revisions {
 		m.report.Revisions[i] = int64(binary.BigEndian.Uint64(payload[revisionsOffset+8*i:]))
 	}
--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -25,10 +25,11 @@
 	catchUpState catchUpState
 }
 
-// ignoreDeletions reports whether objects missing in the last read may come back, so that their
-// deletion must not be reported to peers yet.
+// ignoreDeletions reports whether objects missing in the last read may come back, as entries of
+// upstreams may after an outage of the store, so that their deletion must not take effect or be
+// reported to peers yet. Deletions read from a peer take effect at once: the peer has waited already.
 func (f *sharedFeed) ignoreDeletions() bool {
-	return f.topic == fleet.TopicUpstreams && !f.fromPeer && time.Now().Before(f.instance.lapseGraceEnd())
+	return f.topic == fleet.TopicUpstreams && !f.fromPeer && f.instance.inLapseGrace()
 }
 
 // Snapshot implements store.Feed. The first snapshot is read from a peer if one has it.
@@ -60,13 +61,14 @@
 	began, fetchFailed := time.Now(), false
 	for {
 		w.mu.Lock()
-		isWatcher, h, wanted := w.isWatcher[f.topic], w.hints[f.topic], w.wantedRevisions[f.topic]
+		isWatcher, wanted := w.isWatcher[f.topic], w.wantedRevisions[f.topic]
 		if wanted <= after {
 			w.wantedRevisions[f.topic] = 0
 		}
 		w.mu.Unlock()
+		h, hinted := w.pendingHint(f.topic, after)
 		switch {
-		case h.revision > after && !fetchFailed:
+		case hinted && !fetchFailed:
 			changes, revision, err := f.fetch(ctx, kind, h, after)
 			switch {
 			case err == nil && len(changes) == 0:
@@ -207,10 +209,8 @@
 
 // hasHint reports whether a peer has changes after a revision.
 func (f *sharedFeed) hasHint(after int64) bool {
-	w := &f.instance.coordinator
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.hints[f.topic].revision > after
+	_, ok := f.instance.coordinator.pendingHint(f.topic, after)
+	return ok
 }
 
 // mayProbe reports whether the follower of a kind may check whether the platform answers again, given
@@ -246,25 +246,19 @@
 func (f *sharedFeed) fetch(ctx context.Context, kind string, h hint, after int64) ([]store.Change, int64, error) {
 	set, err := f.instance.peerSync.Fetch(ctx, h.peer, f.topic, after)
 	if ctx.Err() == nil {
-		f.clearHint(h)
+		f.instance.coordinator.clearHint(f.topic, h)
 	}
 	if err != nil {
 		return nil, 0, err
 	}
 	f.fromPeer = true
+	if set.Revision < h.revision {
+		f.instance.events.Log(event.ChangesPartial, "peer", h.peer, "topic", int(f.topic), "reported", h.revision, "complete", set.Revision)
+		f.instance.coordinator.recordPartialRead(f.topic, h.revision)
+	}
 	if set.Full {
 		f.full = &set
 		return nil, 0, store.Compacted.New("%s: %s returned all objects instead of changes", kind, h.peer)
 	}
 	return set.Changes, set.Revision, nil
 }
-
-// clearHint removes a hint once it was used, so that the same peer may give it again.
-func (f *sharedFeed) clearHint(h hint) {
-	w := &f.instance.coordinator
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.hints[f.topic] == h {
-		w.hints[f.topic] = hint{}
-	}
-}
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -100,6 +100,9 @@
 	return i.platformStatus.recoveredAt.Add(lapseGrace)
 }
 
+// inLapseGrace reports whether running upstreams may still renew such entries.
+func (i *Instance) inLapseGrace() bool { return time.Now().Before(i.lapseGraceEnd()) }
+
 const (
 	// minLapseOutage is the shortest outage of the store in which entries may lapse: upstreams
 	// renew them every 1.5 s, and three renewals may fail.
@@ -109,22 +112,25 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// follow runs the follower of a topic until the context ends.
+// follow runs the follower of a topic until the context ends. The callbacks are told whether missing
+// or deleted objects may come back; see ignoreDeletions.
 func (i *Instance) follow(ctx context.Context, topic fleet.Topic, kind string,
-	onSnapshot func(objects []store.Object, revision int64, fromPeer bool),
-	onChanges func(changes []store.Change, revision int64, fromPeer bool)) {
+	onSnapshot func(objects []store.Object, revision int64, mayReturn bool),
+	onChanges func(changes []store.Change, revision int64, mayReturn bool)) {
 	feed := &sharedFeed{Feed: i.store, instance: i, topic: topic}
+	log := i.peerSync.Logs[topic]
 	f := &store.Follower{
 		Feed: feed, Kind: kind,
 		OnSnapshot: func(objects []store.Object, revision int64) {
-			onSnapshot(objects, revision, feed.fromPeer)
-			i.peerSync.Logs[topic].Replace(objects, revision, feed.ignoreDeletions())
-			i.recordRead(topic, revision)
+			// Asked once: deletions that this instance waits for must be the ones that it withholds.
+			mayReturn := feed.ignoreDeletions()
+			onSnapshot(objects, revision, mayReturn)
+			i.updateLog(ctx, topic, revision, mayReturn, func() { log.Replace(objects, revision, mayReturn) })
 		},
 		OnChanges: func(changes []store.Change, revision int64) {
-			onChanges(changes, revision, feed.fromPeer)
-			i.peerSync.Logs[topic].Append(changes, revision, feed.ignoreDeletions())
-			i.recordRead(topic, revision)
+			mayReturn := feed.ignoreDeletions()
+			onChanges(changes, revision, mayReturn)
+			i.updateLog(ctx, topic, revision, mayReturn, func() { log.Append(changes, revision, mayReturn) })
 		},
 		OnLost:    func(err error) { i.storeLost(kind, err) },
 		OnReached: func() { i.storeReached(kind) },
@@ -133,6 +139,22 @@
 	f.Run(ctx)
 }
 
+// updateLog updates the change log of a topic that was read up to a revision, and reports to peers
+// what is new. Deletions that the log then withholds are confirmed at the end of the grace period.
+func (i *Instance) updateLog(ctx context.Context, topic fleet.Topic, revision int64, mayReturn bool, update func()) {
+	log := i.peerSync.Logs[topic]
+	withheld := log.Withholding()
+	update()
+	if mayReturn && log.Withholding() {
+		i.rereadAfterGrace(ctx)
+	}
+	i.recordRead(topic, revision)
+	if withheld && !log.Withholding() {
+		// The revision may be an old one, but only now is the log complete up to it.
+		i.announce(topic)
+	}
+}
+
 // missingKeys returns the keys that have no object.
 func missingKeys(keys []string, objects []store.Object) []string {
 	present := make(map[string]bool, len(objects))
@@ -143,18 +165,18 @@
 }
 
 func (i *Instance) followUpstreams(ctx context.Context) {
-	i.follow(ctx, fleet.TopicUpstreams, platform.KindUpstreams, func(objects []store.Object, revision int64, fromPeer bool) {
+	i.follow(ctx, fleet.TopicUpstreams, platform.KindUpstreams, func(objects []store.Object, revision int64, mayReturn bool) {
 		for _, o := range objects {
 			i.applyUpstream(o)
 		}
 		for _, id := range missingKeys(i.core.Upstreams(), objects) {
-			i.dropUpstream(ctx, id, revision, fromPeer)
+			i.dropUpstream(ctx, id, revision, mayReturn)
 		}
 		i.recordUpstreamsRead(revision)
-	}, func(list []store.Change, revision int64, fromPeer bool) {
+	}, func(list []store.Change, revision int64, mayReturn bool) {
 		for _, c := range list {
 			if c.Deleted {
-				i.dropUpstream(ctx, c.Object.Key, revision, fromPeer)
+				i.dropUpstream(ctx, c.Object.Key, revision, mayReturn)
 			} else {
 				i.applyUpstream(c.Object)
 			}
@@ -193,21 +215,24 @@
 	i.core.SetUpstream(time.Now(), u)
 }
 
-// dropUpstream removes an upstream whose entry is gone. Within the grace period after an outage of
-// the store the entry may come back: the upstream is kept, and all entries are read again at the end
-// of the period, which the follower retries until it succeeds. Deletions read from a peer take
-// effect at once, since the peer has waited already.
-func (i *Instance) dropUpstream(ctx context.Context, id string, revision int64, fromPeer bool) {
-	wait := time.Until(i.lapseGraceEnd())
-	if wait <= 0 || fromPeer {
-		i.removeUpstream(id, revision)
+// dropUpstream removes an upstream whose entry is gone. An upstream that may return is kept until the
+// end of the grace period.
+func (i *Instance) dropUpstream(ctx context.Context, id string, revision int64, mayReturn bool) {
+	if mayReturn {
+		i.rereadAfterGrace(ctx)
 		return
 	}
+	i.removeUpstream(id, revision)
+}
+
+// rereadAfterGrace has all entries of upstreams read again at the end of the grace period, which the
+// follower retries until it succeeds.
+func (i *Instance) rereadAfterGrace(ctx context.Context) {
 	if !i.platformStatus.rereadPending.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		err := store.Pause(ctx, wait)
+		err := store.Pause(ctx, time.Until(i.lapseGraceEnd()))
 		// Reset before the read, which may find further missing entries that have to wait.
 		i.platformStatus.rereadPending.Store(false)
 		if err == nil {
--- a/internal/instance/lapse_test.go
+++ b/internal/instance/lapse_test.go
@@ -48,7 +48,7 @@
 					return
 				}
 				for _, id := range i.core.Upstreams() {
-					i.dropUpstream(ctx, id, revision, false)
+					i.dropUpstream(ctx, id, revision, i.inLapseGrace())
 				}
 			},
 		}
@@ -58,7 +58,7 @@
 		// The platform came back a second ago, and the upstreams' entries have lapsed.
 		i.platformStatus.recoveredAt = time.Now().Add(-time.Second)
 		for _, id := range ids {
-			i.dropUpstream(ctx, id, 10, false)
+			i.dropUpstream(ctx, id, 10, i.inLapseGrace())
 		}
 		g.Expect(i.core.Upstreams()).To(gomega.HaveLen(3), "the entries may come back within the grace period")
 		time.Sleep(lapseGrace + 5*time.Second)
@@ -69,3 +69,38 @@
 		synctest.Wait()
 	})
 }
+
+// TestWithheldDeletionsAreConfirmed guards against a log that withholds the deletion of an entry for
+// ever because this instance has no such upstream in use, as with an entry that it cannot decode.
+func TestWithheldDeletionsAreConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		i, err := build(Options{}, &deployment.Deployment{Instance: "a"}, event.Discard())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithCancel(t.Context())
+		log := i.peerSync.Logs[fleet.TopicUpstreams]
+		follower := &store.Follower{
+			Feed: &flakyFeed{}, Kind: "k", OnLost: func(error) {}, OnReached: func() {},
+			OnSnapshot: func(objects []store.Object, revision int64) {
+				log.Replace(objects, revision, i.inLapseGrace())
+			},
+		}
+		unknown := store.Object{Key: "u", Version: 5}
+		log.Replace([]store.Object{unknown}, 10, false)
+		i.platformStatus.recoveredAt = time.Now()
+		i.updateLog(ctx, fleet.TopicUpstreams, 12, true, func() {
+			log.Append([]store.Change{{Object: unknown, Deleted: true}}, 12, true)
+		})
+		i.coordinator.addFollower(fleet.TopicUpstreams, follower)
+		go follower.Run(ctx)
+		synctest.Wait()
+		set, _ := log.Since(10)
+		g.Expect(set.Changes).To(gomega.BeEmpty())
+		time.Sleep(lapseGrace + time.Second)
+		synctest.Wait()
+		set, _ = log.Since(10)
+		g.Expect(set.Changes).To(gomega.Equal([]store.Change{{Object: unknown, Deleted: true}}))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/instance/watching.go
+++ b/internal/instance/watching.go
@@ -44,7 +44,11 @@
 	// isWatcher is set for the topics of which this instance is a watcher.
 	isWatcher [fleet.TopicCount]bool
 	hints     [fleet.TopicCount]hint
-	// remoteRevisions are the latest changes that other zones have reported, by topic.
+	// partialHints are hints of peers that withhold deletions. updateRevisions are the
+	// revisions up to which all changes but deletions were read from such peers.
+	partialHints    [fleet.TopicCount]hint
+	updateRevisions [fleet.TopicCount]int64
+	// remoteRevisions are the latest complete changes that other zones have reported, by topic.
 	remoteRevisions [fleet.TopicCount]int64
 	// wantedRevisions are the revisions up to which topics must be read from a watcher, 0 for
 	// none. watchers are the names of the watchers.
@@ -103,6 +107,37 @@
 	}
 }
 
+// pendingHint returns the hint to follow for changes of a topic after a revision. One of a peer that
+// has all changes goes first.
+func (w *watchCoordinator) pendingHint(topic fleet.Topic, after int64) (h hint, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h = w.hints[topic]; h.revision > after {
+		return h, true
+	}
+	h = w.partialHints[topic]
+	return h, h.revision > max(after, w.updateRevisions[topic])
+}
+
+// clearHint removes a hint once it was used, so that the same peer may give it again.
+func (w *watchCoordinator) clearHint(topic fleet.Topic, h hint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hints[topic] == h {
+		w.hints[topic] = hint{}
+	}
+	if w.partialHints[topic] == h {
+		w.partialHints[topic] = hint{}
+	}
+}
+
+// recordPartialRead records that all changes but deletions were read up to a revision.
+func (w *watchCoordinator) recordPartialRead(topic fleet.Topic, revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.updateRevisions[topic] = max(w.updateRevisions[topic], revision)
+}
+
 // recordRead records the revision up to which a topic was read. A watcher reports it to its zone at
 // once, and a speaker to other zones too.
 func (i *Instance) recordRead(topic fleet.Topic, revision int64) {
@@ -112,9 +147,19 @@
 	if newer {
 		w.readRevisions[topic] = revision
 	}
+	w.mu.Unlock()
+	if newer {
+		i.announce(topic)
+	}
+}
+
+// announce has a watcher of a topic, or a speaker, report to its peers at once.
+func (i *Instance) announce(topic fleet.Topic) {
+	w := &i.coordinator
+	w.mu.Lock()
 	isWatcher := w.isWatcher[topic]
 	w.mu.Unlock()
-	if newer && (isWatcher || i.transport.IsSpeaker()) {
+	if isWatcher || i.transport.IsSpeaker() {
 		i.transport.SendNow()
 	}
 }
@@ -128,6 +173,7 @@
 	for topic, log := range i.peerSync.Logs {
 		r.Revisions[topic] = log.LastChange()
 	}
+	r.Revisions[fleet.TopicUpstreams], r.UpstreamsPartial = i.peerSync.Logs[fleet.TopicUpstreams].LastReport()
 	return r
 }
 
@@ -147,6 +193,10 @@
 	w.mu.Lock()
 	newer := false
 	for topic, revision := range r.Revisions {
+		if r.IsPartial(fleet.Topic(topic)) {
+			newer = newer || revision > max(w.readRevisions[topic], w.updateRevisions[topic])
+			continue
+		}
 		newer = newer || revision > w.readRevisions[topic] && revision > w.remoteRevisions[topic]
 		w.remoteRevisions[topic] = max(w.remoteRevisions[topic], revision)
 	}
@@ -161,9 +211,13 @@
 	w := &i.coordinator
 	for topic, revision := range r.Revisions {
 		w.mu.Lock()
-		newer := revision > w.readRevisions[topic] && revision > w.hints[topic].revision
+		hints, known := &w.hints, w.readRevisions[topic]
+		if r.IsPartial(fleet.Topic(topic)) {
+			hints, known = &w.partialHints, max(known, w.updateRevisions[topic])
+		}
+		newer := revision > known && revision > hints[topic].revision
 		if newer {
-			w.hints[topic] = hint{peer, revision}
+			hints[topic] = hint{peer, revision}
 		}
 		w.mu.Unlock()
 		if newer {
