--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -12,6 +12,9 @@
 // minutes of normal operation, or one replacement of all upstreams.
 const maxLoggedChanges = 2000
 
+// maxGaps is how many snapshots a log reaches back over.
+const maxGaps = 100
+
 // batch holds the changes that one read from the platform returned.
 type batch struct {
 	// revision is the revision of the last change of the batch.
@@ -19,6 +22,10 @@
 	changes  []platform.Change
 }
 
+// gap is a range of revisions that was read as a snapshot. Only the differences between its
+// ends are known: an object that was created and deleted within it is not among them.
+type gap struct{ from, to int64 }
+
 // ChangeLog keeps the last changes of a topic for peers that have not read them
 // from the platform themselves. It is safe for concurrent use.
 type ChangeLog struct {
@@ -36,6 +43,7 @@
 	withheld    map[string]platform.Object
 	batches     []batch
 	changeCount int
+	gaps        []gap
 	// objects holds all objects as of latest, by key.
 	objects map[string]platform.Object
 }
@@ -46,7 +54,7 @@
 	// changes as well.
 	Revision int64 `json:"revision"`
 	// Full is set when Changes holds all objects instead of the changes, because the
-	// log does not reach back to the requested revision.
+	// log does not reach back to the requested revision or has skipped it.
 	Full    bool              `json:"full,omitempty"`
 	Changes []platform.Change `json:"changes"`
 }
@@ -70,7 +78,7 @@
 		present[o.Key] = o
 	}
 	if l.base < 0 || revision < l.latest {
-		l.base, l.batches, l.changeCount = revision, nil, 0
+		l.base, l.batches, l.changeCount, l.gaps = revision, nil, 0, nil
 		l.objects, l.lastChange = present, 0
 		l.withheld = nil
 		l.advance(revision)
@@ -92,11 +100,30 @@
 	} else {
 		changes = append(changes, l.confirmDeletions(present)...)
 	}
+	l.addGap(gap{l.latest, revision})
 	l.add(changes, revision)
 	l.objects = present
 	l.advance(revision)
 }
 
+// addGap records that a snapshot was read, and drops the oldest gap beyond maxGaps.
+func (l *ChangeLog) addGap(added gap) {
+	if added.from == added.to {
+		return
+	}
+	l.gaps = append(l.gaps, added)
+	if len(l.gaps) > maxGaps {
+		l.base = max(l.base, l.gaps[0].to)
+		l.gaps = l.gaps[1:]
+	}
+}
+
+// inGap reports whether a reader up to a revision that knows objects up to another one may
+// know an object of which the log does not hold the deletion.
+func (l *ChangeLog) inGap(after, known int64) bool {
+	return slices.ContainsFunc(l.gaps, func(g gap) bool { return known > g.from && after < g.to })
+}
+
 // advance records that changes were read up to a revision.
 func (l *ChangeLog) advance(revision int64) {
 	l.latest = revision
@@ -233,15 +260,17 @@
 	}
 }
 
-// Since returns the changes after a revision. It reports false before the first snapshot.
-func (l *ChangeLog) Since(after int64) (ChangeSet, bool) {
+// Since returns the changes after a revision for a reader that knows objects up to the
+// revision known. That is a later one if the reader has changes of a log that withholds
+// deletions. It reports false before the first snapshot.
+func (l *ChangeLog) Since(after, known int64) (ChangeSet, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.base < 0 {
 		return ChangeSet{}, false
 	}
 	set := ChangeSet{Revision: max(l.complete, after), Changes: []platform.Change{}}
-	if after >= l.base {
+	if after >= l.base && !l.inGap(after, max(after, known)) {
 		for _, b := range l.batches {
 			if b.revision > after {
 				set.Changes = append(set.Changes, b.changes...)
--- a/internal/fleet/endless_test.go
+++ b/internal/fleet/endless_test.go
@@ -25,7 +25,7 @@
 			table.Register(time.Now(), peer)
 			began := time.Now()
 			g.Expect(endless.Allocated(func() {
-				_, err = NewPeerSync(&self, table).Fetch(t.Context(), "b", TopicUpstreams, 1)
+				_, err = NewPeerSync(&self, table).Fetch(t.Context(), "b", TopicUpstreams, 1, 1)
 			})).To(gomega.BeNumerically("<", 8*maxResponseBytes))
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(time.Since(began)).To(gomega.BeNumerically("<", fetchTimeout+5*time.Second))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -213,21 +213,21 @@
 func TestChangeLog(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := NewChangeLog()
-	_, ok := l.Since(0)
+	_, ok := l.Since(0, 0)
 	g.Expect(ok).To(gomega.BeFalse(), "before the first snapshot")
 	l.Replace([]platform.Object{object("a", 3), object("b", 4)}, 10, false)
 	l.Append([]platform.Change{{Object: object("c", 12)}}, 12, false)
 	l.Append([]platform.Change{{Object: object("a", 3), Deleted: true}}, 15, false)
 	l.Append([]platform.Change{{Object: object("x", 1)}}, 14, false)
 
-	set, ok := l.Since(12)
+	set, ok := l.Since(12, 12)
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 15, Changes: []platform.Change{{Object: object("a", 3), Deleted: true}}}))
-	set, _ = l.Since(10)
+	set, _ = l.Since(10, 10)
 	g.Expect(set.Changes).To(gomega.HaveLen(2))
-	set, _ = l.Since(99)
+	set, _ = l.Since(99, 99)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 99, Changes: []platform.Change{}}), "nothing is newer, and the revision does not decrease")
-	set, _ = l.Since(9)
+	set, _ = l.Since(9, 9)
 	g.Expect(set.Full).To(gomega.BeTrue())
 	g.Expect(set.Changes).To(gomega.ConsistOf(platform.Change{Object: object("b", 4)}, platform.Change{Object: object("c", 12)}))
 
@@ -235,7 +235,7 @@
 		l.Append([]platform.Change{{Object: object("d", 100+i)}}, 100+i, false)
 	}
 	g.Expect(l.changeCount).To(gomega.BeNumerically("<=", maxLoggedChanges))
-	set, _ = l.Since(50)
+	set, _ = l.Since(50, 50)
 	g.Expect(set.Full).To(gomega.BeTrue(), "the log does not reach back to revision 50")
 	g.Expect(set.Changes).To(gomega.HaveLen(3))
 }
@@ -248,7 +248,7 @@
 	// The platform has compacted the history: a was deleted, b was updated, e was created.
 	l.Replace([]platform.Object{object("b", 20), object("c", 5), object("d", 12), object("e", 21)}, 30, false)
 
-	set, ok := l.Since(12)
+	set, ok := l.Since(12, 12)
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(set.Full).To(gomega.BeFalse(), "a peer that is up to date with the log needs the differences only")
 	g.Expect(set.Revision).To(gomega.Equal(int64(30)))
@@ -256,12 +256,12 @@
 		platform.Change{Object: object("a", 3), Deleted: true},
 		platform.Change{Object: object("b", 20)}, platform.Change{Object: object("e", 21)}))
 	l.Replace([]platform.Object{object("b", 20), object("c", 5), object("d", 12), object("e", 21)}, 40, false)
-	set, _ = l.Since(30)
+	set, _ = l.Since(30, 30)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 40, Changes: []platform.Change{}}), "the snapshot has no differences")
-	set, _ = l.Since(10)
+	set, _ = l.Since(10, 10)
 	g.Expect(set.Changes).To(gomega.HaveLen(4), "the log still reaches back to revision 10")
 	l.Replace([]platform.Object{object("a", 3)}, 7, false)
-	set, _ = l.Since(1)
+	set, _ = l.Since(1, 1)
 	g.Expect(set.Full).To(gomega.BeTrue(), "a snapshot older than the log starts a new log")
 	g.Expect(set.Changes).To(gomega.HaveLen(1))
 }
@@ -301,9 +301,9 @@
 	g.Expect(paged.LastChange()).To(gomega.Equal(int64(10)), "b was read by a later call, and the log may not be complete up to 14")
 	l.Append([]platform.Change{{Object: object("c", 12)}}, 15, false)
 	g.Expect(l.LastChange()).To(gomega.Equal(int64(12)))
-	set, _ := l.Since(10)
+	set, _ := l.Since(10, 10)
 	g.Expect(set.Revision).To(gomega.Equal(int64(15)), "the set is complete up to the revision of the read")
-	set, _ = l.Since(12)
+	set, _ = l.Since(12, 12)
 	g.Expect(set.Changes).To(gomega.BeEmpty())
 	l.Append([]platform.Change{{Object: object("a", 3), Deleted: true}}, 20, false)
 	g.Expect(l.LastChange()).To(gomega.Equal(int64(20)), "a deletion counts with the revision of the read")
@@ -311,7 +311,7 @@
 	g.Expect(l.LastChange()).To(gomega.Equal(int64(20)), "the snapshot has no differences")
 	l.Replace([]platform.Object{object("b", 33), object("c", 12)}, 40, false)
 	g.Expect(l.LastChange()).To(gomega.Equal(int64(33)))
-	set, _ = l.Since(30)
+	set, _ = l.Since(30, 30)
 	g.Expect(set.Changes).To(gomega.ConsistOf(platform.Change{Object: object("b", 33)}))
 }
 
@@ -325,19 +325,19 @@
 	table := NewTable()
 	fetching := NewPeerSync(&Registration{Name: "b"}, table)
 
-	_, err := fetching.Fetch(context.Background(), "a", TopicUpstreams, 1)
+	_, err := fetching.Fetch(context.Background(), "a", TopicUpstreams, 1, 1)
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("not registered")))
 	table.Register(time.Now(), server)
-	_, err = fetching.Fetch(context.Background(), "a", TopicUpstreams, 1)
+	_, err = fetching.Fetch(context.Background(), "a", TopicUpstreams, 1, 1)
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("503")))
 	serving.Logs[TopicUpstreams].Replace([]platform.Object{object("u", 2)}, 5, false)
-	set, err := fetching.Fetch(context.Background(), "a", TopicUpstreams, 1)
+	set, err := fetching.Fetch(context.Background(), "a", TopicUpstreams, 1, 1)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(set.Full).To(gomega.BeTrue())
 	g.Expect(set.Revision).To(gomega.Equal(int64(5)))
 	g.Expect(string(set.Changes[0].Object.Value)).To(gomega.Equal("1"))
 
 	server.Secret = []byte("another run's secret")
-	_, err = fetching.Fetch(context.Background(), "a", TopicUpstreams, 1)
+	_, err = fetching.Fetch(context.Background(), "a", TopicUpstreams, 1, 1)
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("authenticator")))
 }
--- a/internal/fleet/peersync.go
+++ b/internal/fleet/peersync.go
@@ -63,11 +63,16 @@
 	q := r.URL.Query()
 	topic, err := strconv.Atoi(q.Get("topic"))
 	after, err2 := strconv.ParseInt(q.Get("after"), 10, 64)
+	known, err3 := strconv.ParseInt(q.Get("known"), 10, 64)
+	if err3 != nil {
+		// Peers of an earlier version do not state it.
+		known = after
+	}
 	if r.URL.Path != changesPath || err != nil || err2 != nil || topic < 0 || topic >= int(TopicCount) {
 		http.NotFound(w, r)
 		return
 	}
-	set, ok := p.Logs[topic].Since(after)
+	set, ok := p.Logs[topic].Since(after, known)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -88,16 +93,18 @@
 	return base64.StdEncoding.EncodeToString(authenticator(secret, append([]byte(query+"\n"), body...)))
 }
 
-// Fetch requests the changes of a topic after a revision from a peer. It returns an error if
+// Fetch requests the changes of a topic after a revision from a peer, for a reader that knows
+// objects up to the revision known; see ChangeLog.Since. It returns an error if
 // the peer is not registered, does not answer with status 200 within fetchTimeout, or its
 // response is malformed or not authenticated.
-func (p *PeerSync) Fetch(ctx context.Context, peer string, topic Topic, after int64) (ChangeSet, error) {
+func (p *PeerSync) Fetch(ctx context.Context, peer string, topic Topic, after, known int64) (ChangeSet, error) {
 	r, ok := p.Table.Registration(peer)
 	if !ok {
 		return ChangeSet{}, Error.New("%q is not registered; no request sent", peer)
 	}
 	query := url.Values{
 		"topic": {strconv.Itoa(int(topic))}, "after": {strconv.FormatInt(after, 10)},
+		"known": {strconv.FormatInt(known, 10)},
 		"nonce": {strconv.FormatInt(time.Now().UnixNano(), 36)},
 	}
 	target := url.URL{Scheme: "http", Host: r.Peers, Path: changesPath, RawQuery: query.Encode()}
--- a/internal/fleet/withheld_test.go
+++ b/internal/fleet/withheld_test.go
@@ -21,9 +21,9 @@
 	l.Append([]platform.Change{{Object: object("a", 3), Deleted: true}}, 12, true)
 	l.Append([]platform.Change{{Object: object("b", 13)}}, 13, true)
 
-	set, _ := l.Since(10)
+	set, _ := l.Since(10, 10)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 10, Changes: []platform.Change{{Object: object("b", 13)}}}))
-	set, _ = l.Since(-1)
+	set, _ = l.Since(-1, -1)
 	g.Expect(set.Full).To(gomega.BeTrue())
 	g.Expect(set.Revision).To(gomega.Equal(int64(10)), "a is gone since revision 12, but is among the objects")
 	revision, partial := l.LastReport()
@@ -32,7 +32,7 @@
 
 	// The entry of a has not come back, and nothing has changed since.
 	l.Replace([]platform.Object{object("b", 13)}, 13, false)
-	set, _ = l.Since(10)
+	set, _ = l.Since(10, 10)
 	g.Expect(set.Revision).To(gomega.Equal(int64(13)))
 	g.Expect(set.Changes).To(gomega.ContainElement(platform.Change{Object: object("a", 3), Deleted: true}))
 	_, partial = l.LastReport()
@@ -46,15 +46,15 @@
 	l := NewChangeLog()
 	l.Replace([]platform.Object{object("a", 3), object("b", 4)}, 10, false)
 	l.Replace([]platform.Object{object("b", 4)}, 12, true)
-	set, _ := l.Since(10)
+	set, _ := l.Since(10, 10)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 10, Changes: []platform.Change{}}))
 	l.Replace([]platform.Object{object("a", 14), object("b", 4)}, 15, true)
-	set, _ = l.Since(10)
+	set, _ = l.Since(10, 10)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 15, Changes: []platform.Change{{Object: object("a", 14)}}}))
 
 	l.Append([]platform.Change{{Object: object("a", 14), Deleted: true}}, 16, true)
 	l.Append([]platform.Change{{Object: object("a", 17)}}, 17, true)
-	set, _ = l.Since(15)
+	set, _ = l.Since(15, 15)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 17, Changes: []platform.Change{{Object: object("a", 17)}}}))
 	g.Expect(l.Withholding()).To(gomega.BeFalse())
 }
@@ -67,10 +67,10 @@
 	l.Replace([]platform.Object{object("b", 4)}, 10, false)
 	l.Append([]platform.Change{{Object: object("a", 11)}, {Object: object("a", 11), Deleted: true}}, 12, true)
 	l.Replace([]platform.Object{object("b", 4)}, 13, true)
-	set, _ := l.Since(11)
+	set, _ := l.Since(11, 11)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 11, Changes: []platform.Change{}}))
 	l.Replace([]platform.Object{object("b", 4)}, 14, false)
-	set, _ = l.Since(11)
+	set, _ = l.Since(11, 11)
 	g.Expect(set).To(gomega.Equal(ChangeSet{Revision: 14, Changes: []platform.Change{{Object: object("a", 11), Deleted: true}}}))
 }
 
@@ -120,6 +120,29 @@
 	return list
 }
 
+// TestReaderWithinASnapshotGap has peers ask for changes after a revision that the log has skipped
+// with a snapshot: they may know an object that was created and deleted in between.
+func TestReaderWithinASnapshotGap(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := NewChangeLog()
+	l.Replace([]platform.Object{object("b", 4)}, 10, false)
+	l.Replace([]platform.Object{object("b", 4)}, 20, false)
+	for after, full := range map[int64]bool{10: false, 11: true, 19: true, 20: false} {
+		set, _ := l.Since(after, after)
+		g.Expect(set.Full).To(gomega.Equal(full), "after %d", after)
+		g.Expect(set.Revision).To(gomega.Equal(int64(20)))
+	}
+	set, _ := l.Since(10, 15)
+	g.Expect(set.Full).To(gomega.BeTrue(), "the peer has later objects, from an instance that withholds deletions")
+
+	for i := range int64(2 * maxGaps) {
+		l.Replace([]platform.Object{object("b", 4)}, 30+i, false)
+	}
+	g.Expect(len(l.gaps)).To(gomega.BeNumerically("<=", maxGaps))
+	set, _ = l.Since(10, 10)
+	g.Expect(set.Full).To(gomega.BeTrue(), "the log does not reach back over that many snapshots")
+}
+
 // storeReader is an instance that reads the store into a log, and withholds deletions at times.
 type storeReader struct {
 	log         *ChangeLog
@@ -128,39 +151,47 @@
 }
 
 func (r *storeReader) step(rng *rand.Rand, h *storeHistory, mayWithhold bool) {
-	if mayWithhold && rng.IntN(6) == 0 {
+	snapshot := rng.IntN(6) == 0
+	switch {
+	case r.withholding && rng.IntN(4) == 0:
+		// All objects are read again at the end of the grace period.
+		r.withholding, snapshot = false, true
+	case mayWithhold && rng.IntN(6) == 0:
 		r.withholding = true
 	}
-	r.log.Append(h.changes[r.read+1:], h.revision(), r.withholding)
-	if r.withholding && rng.IntN(4) == 0 {
-		// All objects are read again, at the end of the grace period or within it.
-		r.withholding = rng.IntN(2) == 0
+	if snapshot {
 		r.log.Replace(slices.Collect(maps.Values(h.objects(h.revision()))), h.revision(), r.withholding)
+	} else {
+		r.log.Append(h.changes[r.read+1:], h.revision(), r.withholding)
 	}
 	r.read = h.revision()
 }
 
-// TestPeersMissNothingUpToTheirRevision has a peer read changes in turn from an instance that
-// withholds deletions at times and from one that never does.
+// TestPeersMissNothingUpToTheirRevision has a peer read changes in turn from two instances that
+// withhold deletions at times and from one that never does. All read snapshots at times.
 func TestPeersMissNothingUpToTheirRevision(t *testing.T) {
 	for seed := range uint64(300) {
 		g := gomega.NewWithT(t)
 		rng := rand.New(rand.NewPCG(seed, 1))
 		h := &storeHistory{changes: []platform.Change{{Object: object("u0", 0)}}}
-		readers := []*storeReader{{log: NewChangeLog()}, {log: NewChangeLog()}}
+		readers := []*storeReader{{log: NewChangeLog()}, {log: NewChangeLog()}, {log: NewChangeLog()}}
 		for _, r := range readers {
 			r.log.Replace(slices.Collect(maps.Values(h.objects(0))), 0, false)
 		}
-		known, revision := h.objects(0), int64(0)
+		known, revision, latest := h.objects(0), int64(0), int64(0)
 		for step := range 60 {
 			for range rng.IntN(3) {
 				h.change(rng)
 			}
 			chosen := rng.IntN(len(readers))
-			readers[chosen].step(rng, h, chosen == 0)
-			set, ok := readers[rng.IntN(len(readers))].log.Since(revision)
+			readers[chosen].step(rng, h, chosen > 0)
+			set, ok := readers[rng.IntN(len(readers))].log.Since(revision, latest)
 			g.Expect(ok).To(gomega.BeTrue())
+			if set.Full {
+				known = map[string]platform.Object{}
+			}
 			for _, c := range set.Changes {
+				latest = max(latest, c.Object.Version)
 				if c.Deleted {
 					delete(known, c.Object.Key)
 				} else {
--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -21,6 +21,10 @@
 	// peer.
 	loaded   bool
 	fromPeer bool
+	// knownRevision is the highest revision of an object that was read since the last
+	// snapshot. It is above the revision of the topic after changes of a peer that
+	// withholds deletions.
+	knownRevision int64
 	// catchUpState is the progress of reading a wanted revision from a peer.
 	catchUpState catchUpState
 }
@@ -37,20 +41,38 @@
 	if !f.loaded {
 		f.full = f.initialFromPeers(ctx)
 	}
-	if f.full == nil {
-		objects, revision, err := f.Feed.Snapshot(ctx, kind)
-		f.instance.platformStatus.recordAnswer(err)
-		f.fromPeer = false
-		f.loaded = f.loaded || err == nil
-		return objects, revision, err
+	if full := f.full; full != nil {
+		f.full, f.fromPeer, f.loaded = nil, true, true
+		objects := make([]store.Object, len(full.Changes))
+		for i, c := range full.Changes {
+			objects[i] = c.Object
+		}
+		f.recordObjects(objects)
+		return objects, full.Revision, nil
 	}
-	full := f.full
-	f.full, f.fromPeer, f.loaded = nil, true, true
-	objects := make([]store.Object, len(full.Changes))
-	for i, c := range full.Changes {
-		objects[i] = c.Object
+	objects, revision, err := f.Feed.Snapshot(ctx, kind)
+	f.instance.platformStatus.recordAnswer(err)
+	f.fromPeer = false
+	if err == nil {
+		f.loaded = true
+		f.recordObjects(objects)
+	}
+	return objects, revision, err
+}
+
+// recordObjects records the revisions of the objects of a snapshot.
+func (f *sharedFeed) recordObjects(objects []store.Object) {
+	f.knownRevision = 0
+	for _, o := range objects {
+		f.knownRevision = max(f.knownRevision, o.Version)
+	}
+}
+
+// recordChanges records the revisions of changed objects.
+func (f *sharedFeed) recordChanges(changes []store.Change) {
+	for _, c := range changes {
+		f.knownRevision = max(f.knownRevision, c.Object.Version)
 	}
-	return objects, full.Revision, nil
 }
 
 // Changes implements store.Feed. Changes that a peer has read are fetched from it first, also by a
@@ -131,6 +153,7 @@
 	changes, revision, err := f.Feed.Changes(ctx, kind, after, wait)
 	f.instance.platformStatus.recordAnswer(err)
 	f.fromPeer = false
+	f.recordChanges(changes)
 	return changes, revision, err
 }
 
@@ -244,7 +267,7 @@
 // fetch fetches the changes after a revision from a peer. If the peer returns all objects instead,
 // the error is store.Compacted and the next Snapshot returns them.
 func (f *sharedFeed) fetch(ctx context.Context, kind string, h hint, after int64) ([]store.Change, int64, error) {
-	set, err := f.instance.peerSync.Fetch(ctx, h.peer, f.topic, after)
+	set, err := f.instance.peerSync.Fetch(ctx, h.peer, f.topic, after, max(after, f.knownRevision))
 	if ctx.Err() == nil {
 		f.instance.coordinator.clearHint(f.topic, h)
 	}
@@ -260,5 +283,6 @@
 		f.full = &set
 		return nil, 0, store.Compacted.New("%s: %s returned all objects instead of changes", kind, h.peer)
 	}
+	f.recordChanges(set.Changes)
 	return set.Changes, set.Revision, nil
 }
--- a/internal/instance/starting.go
+++ b/internal/instance/starting.go
@@ -136,7 +136,7 @@
 func (f *sharedFeed) fetchAll(ctx context.Context, peer string) (fleet.ChangeSet, error) {
 	ctx, cancel := context.WithTimeout(ctx, startFetchTimeout)
 	defer cancel()
-	return f.instance.peerSync.Fetch(ctx, peer, f.topic, -1)
+	return f.instance.peerSync.Fetch(ctx, peer, f.topic, -1, -1)
 }
 
 // startPeers returns peers of this instance's region that may have the objects it needs, those of its
--- a/internal/instance/starting_test.go
+++ b/internal/instance/starting_test.go
@@ -217,10 +217,10 @@
 	log.Replace([]store.Object{kept, lapsed}, 10, false)
 	log.Append([]store.Change{{Object: lapsed, Deleted: true}}, 12, true)
 	log.Replace([]store.Object{kept}, 14, true)
-	set, _ := log.Since(10)
+	set, _ := log.Since(10, 10)
 	g.Expect(set.Changes).To(gomega.BeEmpty())
 	log.Replace([]store.Object{kept}, 16, false)
-	set, _ = log.Since(10)
+	set, _ = log.Since(10, 10)
 	g.Expect(set.Changes).To(gomega.Equal([]store.Change{{Object: lapsed, Deleted: true}}), "the grace period is over")
 }
 
--- a/internal/instance/withheld_test.go
+++ b/internal/instance/withheld_test.go
@@ -114,3 +114,29 @@
 	cancel()
 	<-ended
 }
+
+// TestObjectOfPartialChangesIsNotKept has a peer that skipped the life of an upstream with a snapshot:
+// an instance that learned of the upstream from partial changes must read all objects from it.
+func TestObjectOfPartialChangesIsNotKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	feed, _ := newSharedFeed()
+	feed.loaded = true
+	i := feed.instance
+	gone, kept := store.Object{Key: "gone", Version: 7}, store.Object{Key: "kept", Version: 8}
+	cut, sound := newCountedPeer(t, i.table, "cut", gone, kept), newCountedPeer(t, i.table, "sound", gone, kept)
+	cut.log().Append([]store.Change{{Object: gone, Deleted: true}}, 12, true)
+	cut.log().Append([]store.Change{{Object: store.Object{Key: "brief", Version: 13}}}, 13, true)
+	cut.report(i, true)
+	_, revision, err := feed.Changes(t.Context(), "k", 10, time.Hour)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(revision).To(gomega.Equal(int64(10)))
+
+	sound.log().Replace([]store.Object{kept}, 20, false)
+	sound.report(i, true)
+	_, _, err = feed.Changes(t.Context(), "k", revision, time.Hour)
+	g.Expect(store.Compacted.Has(err)).To(gomega.BeTrue(), "all objects replace what is known, got %v", err)
+	objects, revision, err := feed.Snapshot(t.Context(), "k")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(objects).To(gomega.ConsistOf(kept))
+	g.Expect(revision).To(gomega.Equal(int64(20)))
+}
