fleet: never set a reader of changes back

Cause: a log that withholds deletions is complete only up to a former revision. A reader beyond it that fell into a gap got all objects with that revision: it would know upstreams again that it had removed, and ignore reports of complete peers that it had read before.

Change: a log that is not complete beyond its reader answers with the changes that it has, at the reader's own revision.

--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -270,7 +270,8 @@
 		return ChangeSet{}, false
 	}
 	set := ChangeSet{Revision: max(l.complete, after), Changes: []platform.Change{}}
-	if after >= l.base && !l.inGap(after, max(after, known)) {
+	// All objects of a log that is not complete beyond the reader would set it back.
+	if after >= l.complete || after >= l.base && !l.inGap(after, max(after, known)) {
 		for _, b := range l.batches {
 			if b.revision > after {
 				set.Changes = append(set.Changes, b.changes...)
@@ -278,7 +279,7 @@
 		}
 		return set, true
 	}
-	set.Full, set.Revision = true, l.complete
+	set.Full = true
 	for _, o := range l.objects {
 		set.Changes = append(set.Changes, platform.Change{Object: o})
 	}
--- a/internal/fleet/withheld_test.go
+++ b/internal/fleet/withheld_test.go
@@ -198,6 +198,7 @@
 					known[c.Object.Key] = c.Object
 				}
 			}
+			g.Expect(set.Revision).To(gomega.BeNumerically(">=", revision), "a set must not set its reader back; seed %d, step %d", seed, step)
 			revision = set.Revision
 			g.Expect(h.missing(known, revision)).To(gomega.BeEmpty(), "seed %d, step %d, revision %d", seed, step, revision)
 		}
