gateway: reset HTTP/1.0 connections when a response is truncated

A related path of what is handed on as complete: an HTTP/1.0 caller took a long response that its upstream broke off for a complete one.

Cause: the gateway closes the connection then, which shows to an HTTP/1.1 caller (the last chunk is missing), but is the end of the body to an HTTP/1.0 caller.

Change: aborting such a request resets the connection. callerConn hands SetLinger on.

Evidence: TestTruncatedResponseToHTTP10Caller failed before (the read ended without an error) and passes, 20 of 20. Callers of the platform's pages speak HTTP/1.1 and are not affected.

--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -67,6 +70,24 @@
 	}
 }
 
+// TestTruncatedResponseToHTTP10Caller guards against a long response that the upstream breaks off
+// appearing complete to a caller that takes the end of the connection for the end of the body.
+func TestTruncatedResponseToHTTP10Caller(t *testing.T) {
+	for _, broken := range []bool{true, false} {
+		g := gomega.NewWithT(t)
+		long := okResult(200, "begin ")
+		rest := io.Reader(strings.NewReader(strings.Repeat("x", 100<<10)))
+		if broken {
+			rest = io.MultiReader(rest, iotest.ErrReader(io.ErrUnexpectedEOF))
+		}
+		long.UnreadBody = bodyReader{rest}
+		f := newFixture(t, long)
+		conn := f.connect(t, "GET /lookup/1 HTTP/1.0\r\nHost: h\r\nId: q1\r\n\r\n")
+		_, err := io.ReadAll(conn)
+		g.Expect(errors.Is(err, syscall.ECONNRESET)).To(gomega.Equal(broken), "%v", err)
+	}
+}
+
 // TestSlowRequestBodyTimesOut sends a body one byte at a time, too slowly for the
 // timeout.
 func TestSlowRequestBodyTimesOut(t *testing.T) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -86,5 +86,23 @@
 // http.ErrAbortHandler.
 func (t *transaction) abort(reason work.Reason, err error) {
 	t.logRequest(0, work.Unknown, reason, err)
+	if !t.r.ProtoAtLeast(1, 1) {
+		t.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetConnection resets the caller's connection. The end of an HTTP/1.0 connection may be
+// the end of a body, so that an orderly close would make a truncated body appear complete.
+func (t *transaction) resetConnection() {
+	conn, _, err := http.NewResponseController(t.w).Hijack()
+	if err != nil {
+		// Only a connection that has ended or is hijacked already cannot be taken over.
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		// SetLinger fails only when the connection is already closed or is not TCP.
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/internal/instance/limits_test.go
+++ b/internal/instance/limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,3 +62,30 @@
 		})
 	}
 }
+
+// TestCallerConnCanBeReset checks that the handler of a request can reset its connection, so that
+// a caller does not take a truncated body for a complete one.
+func TestCallerConnCanBeReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = c.SetLinger(0)
+		}
+		_ = conn.Close()
+	}))
+	go func() { _ = server.Serve(callerListener{ln, func() routing.Limits { return routing.Limits{} }}) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadAll(conn)
+	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+}
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -66,6 +67,15 @@
 	return c.Conn.Write(p)
 }
 
+// SetLinger sets how a close treats unsent data; see net.TCPConn. Other connections than TCP return
+// errors.ErrUnsupported.
+func (c *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // SetReadDeadline implements net.Conn. net/http sets a deadline when the connection becomes unused,
 // another when the next request begins, and one in the past to interrupt a read. The limits in force
 // replace the first two; while a request is handled, its handler sets deadlines of its own.
