fleet: keep differences apart from changes, and complete sets from others

Cause: a change set did not say that revisions had been skipped, and the set of a log that withheld deletions mixed changes up to its complete revision with later ones. The reader's own log then held objects of another revision than its own.

Change: a set says that it is differences, and the reader's log takes the range as a gap of its own. A set holds either all up to the complete revision or, for a reader that has that already, what the log has beyond. While deletions are withheld a log does not hand out all objects: they are those of no revision; readers ask another peer or the store.

--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -50,12 +50,15 @@
 
 // ChangeSet holds the changes after a revision.
 type ChangeSet struct {
-	// Revision is the revision up to which the set is complete. It may hold some later
-	// changes as well.
+	// Revision is the revision up to which the set is complete. If it is not above that of
+	// the reader, the set holds what a log has beyond that while it withholds deletions.
 	Revision int64 `json:"revision"`
 	// Full is set when Changes holds all objects instead of the changes, because the
 	// log does not reach back to the requested revision or has skipped it.
-	Full    bool              `json:"full,omitempty"`
+	Full bool `json:"full,omitempty"`
+	// Skipped is set when the log has skipped some revisions: an object that was created
+	// and deleted within them is not among the changes.
+	Skipped bool              `json:"skipped,omitempty"`
 	Changes []platform.Change `json:"changes"`
 }
 
@@ -189,10 +192,25 @@
 	if l.base < 0 || revision <= l.latest {
 		return
 	}
-	changes = slices.Clone(changes)
 	if ignoreDeletions {
 		changes = l.withholdDeletions(changes)
 	}
+	l.append(slices.Clone(changes), revision)
+}
+
+// AppendDifferences adds changes of a peer that has skipped some revisions; see
+// ChangeSet.Skipped.
+func (l *ChangeLog) AppendDifferences(changes []platform.Change, revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.base < 0 || revision <= l.latest {
+		return
+	}
+	l.addGap(gap{l.latest, revision})
+	l.append(slices.Clone(changes), revision)
+}
+
+func (l *ChangeLog) append(changes []platform.Change, revision int64) {
 	for _, c := range changes {
 		delete(l.withheld, c.Object.Key)
 		if c.Deleted {
@@ -262,26 +280,40 @@
 
 // Since returns the changes after a revision for a reader that knows objects up to the
 // revision known. That is a later one if the reader has changes of a log that withholds
-// deletions. It reports false before the first snapshot.
+// deletions. It reports false if the log cannot answer: before the first snapshot, and while
+// it withholds deletions if the reader needs all objects.
 func (l *ChangeLog) Since(after, known int64) (ChangeSet, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.base < 0 {
-		return ChangeSet{}, false
-	}
 	set := ChangeSet{Revision: max(l.complete, after), Changes: []platform.Change{}}
-	// All objects of a log that is not complete beyond the reader would set it back.
-	if after >= l.complete || after >= l.base && !l.inGap(after, max(after, known)) {
-		for _, b := range l.batches {
-			if b.revision > after {
-				set.Changes = append(set.Changes, b.changes...)
-			}
+	switch {
+	case l.base < 0:
+		return ChangeSet{}, false
+	case after >= l.complete:
+		// The log may have later changes, but is not complete beyond the reader.
+		set.Changes = l.changesBetween(after, l.latest)
+	case after >= l.base && !l.inGap(after, max(after, known)):
+		set.Changes = l.changesBetween(after, l.complete)
+		set.Skipped = slices.ContainsFunc(l.gaps, func(g gap) bool { return after < g.to })
+	case l.complete < l.latest:
+		// The objects are not those of the revision up to which the log is complete.
+		return ChangeSet{}, false
+	default:
+		set.Full = true
+		for _, o := range l.objects {
+			set.Changes = append(set.Changes, platform.Change{Object: o})
 		}
-		return set, true
-	}
-	set.Full = true
-	for _, o := range l.objects {
-		set.Changes = append(set.Changes, platform.Change{Object: o})
 	}
 	return set, true
 }
+
+// changesBetween returns the changes of the batches after one revision and up to another.
+func (l *ChangeLog) changesBetween(after, until int64) []platform.Change {
+	changes := []platform.Change{}
+	for _, b := range l.batches {
+		if b.revision > after && b.revision <= until {
+			changes = append(changes, b.changes...)
+		}
+	}
+	return changes
+}
--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -21,6 +21,8 @@
 	// peer.
 	loaded   bool
 	fromPeer bool
+	// skipped is set if the last changes came from a peer that has skipped some revisions.
+	skipped bool
 	// knownRevision is the highest revision of an object that was read since the last
 	// snapshot. It is above the revision of the topic after changes of a peer that
 	// withholds deletions.
@@ -152,11 +154,20 @@
 func (f *sharedFeed) callPlatform(ctx context.Context, kind string, after int64, wait time.Duration) ([]store.Change, int64, error) {
 	changes, revision, err := f.Feed.Changes(ctx, kind, after, wait)
 	f.instance.platformStatus.recordAnswer(err)
-	f.fromPeer = false
+	f.fromPeer, f.skipped = false, false
 	f.recordChanges(changes)
 	return changes, revision, err
 }
 
+// appendTo appends the last changes to a change log.
+func (f *sharedFeed) appendTo(log *fleet.ChangeLog, changes []store.Change, revision int64, ignoreDeletions bool) {
+	if f.skipped {
+		log.AppendDifferences(changes, revision)
+		return
+	}
+	log.Append(changes, revision, ignoreDeletions)
+}
+
 const (
 	// catchUpInterval is the time between two requests to peers. A watcher needs some 300 ms
 	// to read all upstreams itself from a distant region.
@@ -199,7 +210,7 @@
 			return changes, revision, true, err
 		case err == nil && revision >= c.revision:
 			w.clearWanted(f.topic, c.revision)
-			f.instance.recordReadWithoutChange(f.topic, revision)
+			f.recordReadWithoutChange(revision)
 			return nil, revision, true, nil
 		case err != nil:
 			f.instance.events.Log(event.PeerUnreachable, "peer", peer, "error", err)
@@ -212,6 +223,16 @@
 	return nil, 0, true, store.Compacted.New("%s: no peer has read up to revision %d in time; reading all objects from the platform", kind, c.revision)
 }
 
+// recordReadWithoutChange records that a topic was read up to a revision and has not changed.
+func (f *sharedFeed) recordReadWithoutChange(revision int64) {
+	if f.topic == fleet.TopicUpstreams {
+		f.instance.recordUpstreamsRead(revision)
+	}
+	// Peers may fetch the topic from this instance instead of a watcher.
+	f.appendTo(f.instance.peerSync.Logs[f.topic], nil, revision, false)
+	f.instance.recordRead(f.topic, revision)
+}
+
 // catchUpPeer returns the name of the peer to ask in a try of catchUp, or "" if there is none.
 func (i *Instance) catchUpPeer(topic fleet.Topic, try int) string {
 	if try%3 == 0 {
@@ -274,10 +295,12 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	f.fromPeer = true
+	f.fromPeer, f.skipped = true, set.Skipped
 	if set.Revision < h.revision {
 		f.instance.events.Log(event.ChangesPartial, "peer", h.peer, "topic", int(f.topic), "reported", h.revision, "complete", set.Revision)
-		f.instance.coordinator.recordPartialRead(f.topic, h.revision)
+		if set.Revision <= after {
+			f.instance.coordinator.recordPartialRead(f.topic, h.revision)
+		}
 	}
 	if set.Full {
 		f.full = &set
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -130,7 +130,7 @@
 		OnChanges: func(changes []store.Change, revision int64) {
 			mayReturn := feed.ignoreDeletions()
 			onChanges(changes, revision, mayReturn)
-			i.updateLog(ctx, topic, revision, mayReturn, func() { log.Append(changes, revision, mayReturn) })
+			i.updateLog(ctx, topic, revision, mayReturn, func() { feed.appendTo(log, changes, revision, mayReturn) })
 		},
 		OnLost:    func(err error) { i.storeLost(kind, err) },
 		OnReached: func() { i.storeReached(kind) },
@@ -193,16 +193,6 @@
 	i.updateState()
 }
 
-// recordReadWithoutChange records that a topic was read up to a revision and has not changed.
-func (i *Instance) recordReadWithoutChange(topic fleet.Topic, revision int64) {
-	if topic == fleet.TopicUpstreams {
-		i.recordUpstreamsRead(revision)
-	}
-	// Peers may fetch the topic from this instance instead of a watcher.
-	i.peerSync.Logs[topic].Append(nil, revision, false)
-	i.recordRead(topic, revision)
-}
-
 func (i *Instance) applyUpstream(o store.Object) {
 	u, err := platform.DecodeUpstream(o.Key, o.Value, i.currentDeployment())
 	if err != nil {
