--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -21,8 +21,8 @@
 // Feed reads all objects of a kind and their changes. Object keys are names within
 // the kind.
 type Feed interface {
-	// Snapshot returns the objects of a kind, and the revision from which Changes
-	// must continue.
+	// Snapshot returns the objects of a kind as of a revision, from which Changes must
+	// continue.
 	Snapshot(ctx context.Context, kind string) ([]Object, int64, error)
 	// Changes waits, for at most the given time, until there are changes after
 	// the revision. It returns the changes in order, and the revision to continue
