gateway: do not pass on refusals that an upstream has not proven

What callers would see: 503, 429 or 408 for an order that an upstream had run, which promises that it has not and never will.

Cause: an answer with the request's ID, such a status and no statement that the request was not run has the outcome run, and the gateway delivered it unchanged.

Change: such an answer is not delivered. Lookups are retried as after a broken response, others end with 502, without the upstream's signature.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"sycamoreledge.example/internal/exchange"
 	"sycamoreledge.example/internal/steering"
 	"sycamoreledge.example/internal/work"
@@ -136,14 +139,17 @@
 	if r.Reason != work.ReasonUpstreamConnect {
 		a.request.Delivered++
 	}
+	if r.Outcome == work.Run && statesNotRun(r.Status) {
+		// Not proven by the upstream, so the caller must not be told so.
+		r = discardResponse(r)
+	}
 	if r.Outcome == work.Run && (r.Status < 500 || !a.mayRetry(r) && a.inFlight == 0) {
 		t.deliver(r)
 		return true
 	}
 	if r.UnreadBody != nil {
 		// Not delivered, since another attempt is in flight or follows.
-		_ = r.UnreadBody.Close()
-		r = exchange.Result{Outcome: work.Unknown, Reason: work.ReasonUpstreamBroken}
+		r = discardResponse(r)
 	}
 	if a.lastResult.Outcome == 0 || r.Outcome != work.NotRun {
 		a.lastResult = r
@@ -158,6 +164,24 @@
 	return false
 }
 
+// statesNotRun reports whether a status tells callers that their request has not run and never will.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// discardResponse closes a response that is not delivered to the caller, and returns the result that
+// stands in its place.
+func discardResponse(r exchange.Result) exchange.Result {
+	if r.UnreadBody != nil {
+		_ = r.UnreadBody.Close()
+	}
+	return exchange.Result{Outcome: work.Unknown, Reason: work.ReasonUpstreamBroken, Err: errs.New("response with status %d is not delivered", r.Status)}
+}
+
 // mayRetry reports whether the request may be retried: never when it may have run
 // and is not idempotent.
 func (a *attempts) mayRetry(r exchange.Result) bool {
