fleet: let leaving instances speak for a zone that has no others

Cause: leaving instances were no speakers, so that other zones did not learn that all instances of a zone, or its only one, leave. They named them until three intervals of silence, 1.2 s; a stop allows for one, 0.4 s.

Change: instances that leave are speakers of a zone that has no others.

Evidence: TestAllInstancesOfAZoneLeave failed for zones of one, two and three instances and passes.

--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -79,14 +79,22 @@
 	return g.isSpeaker
 }
 
-// speakers returns the speakers of a zone among the given peers, by rank.
+// speakers returns the speakers of a zone among the given peers, by rank. Instances that leave
+// are speakers of a zone that has no others, which would not be known to leave otherwise.
 func speakers(zone string, peers []Peer) []Peer {
-	var list []Peer
+	var list, leaving []Peer
 	for _, p := range peers {
-		if p.Place.Zone == zone && p.Alive && p.State != Leaving {
+		switch {
+		case p.Place.Zone != zone || !p.Alive:
+		case p.State == Leaving:
+			leaving = append(leaving, p)
+		default:
 			list = append(list, p)
 		}
 	}
+	if len(list) == 0 {
+		list = leaving
+	}
 	sortBySpeakerRank(list)
 	return list[:min(len(list), speakersPerZone)]
 }
--- a/internal/fleet/gossip_test.go
+++ b/internal/fleet/gossip_test.go
@@ -192,6 +192,32 @@
 	g.Expect(sim.untilConverged(globalDetectionLimit, anyPair)).To(gomega.BeNumerically("<", globalDetectionLimit))
 }
 
+// TestAllInstancesOfAZoneLeave guards against other zones that name instances to callers after these
+// have closed their listeners: they must know within the time for which a stop allows.
+func TestAllInstancesOfAZoneLeave(t *testing.T) {
+	for size := range 3 {
+		t.Run(fmt.Sprint(size+1), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			sim := newSimulation(6, size+1, 1)
+			sim.run(4 * time.Second)
+			for _, member := range sim.zone(1) {
+				member.state = Leaving
+				sim.tick(member, true)
+				sim.run(100 * time.Millisecond)
+			}
+			sim.run(MinSendInterval - 100*time.Millisecond)
+			for _, viewer := range sim.members {
+				for _, p := range viewer.gossip.Table.Peers(sim.now) {
+					if p.Place.Zone == "z1" {
+						g.Expect(p.State).To(gomega.Equal(Leaving), "in the table of %s: %s", viewer.gossip.Self.Name, p.Name)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestGossipPropagatesRevisions has one instance read a change: every other instance must get a
 // report of it directly from an instance of its own zone or, if it is a speaker, of another zone.
 func TestGossipPropagatesRevisions(t *testing.T) {
