--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -162,11 +162,6 @@
 		{"order retried after it was shed", "/order/1", []exchange.Result{shedResult, okResult(200, "x")}, 200, "x", 2, false},
 		{"order shed by all upstreams", "/order/1", []exchange.Result{shedResult, shedResult}, 503, "", 2, true},
 		{"order shed, then it may have run", "/order/1", []exchange.Result{shedResult, brokenResult}, 502, "", 2, false},
-		{"order with a refusal that is not proven", "/order/1", []exchange.Result{okResult(503, "e")}, 502, "", 1, false},
-		{"order with another refusal that is not proven", "/order/1", []exchange.Result{okResult(429, "e")}, 502, "", 1, false},
-		{"order with a timeout that is not proven", "/order/1", []exchange.Result{okResult(408, "e")}, 502, "", 1, false},
-		{"lookup retried after a refusal that is not proven", "/lookup/1", []exchange.Result{okResult(429, "e"), okResult(200, "x")}, 200, "x", 2, false},
-		{"lookup with two refusals, one of them not proven", "/lookup/1", []exchange.Result{okResult(503, "e"), shedResult}, 502, "", 2, false},
 		{"late", "/order/1", []exchange.Result{timeoutResult}, 504, "", 1, false},
 		{"unreachable upstreams do not count as attempts", "/order/1", []exchange.Result{connectFailure, connectFailure, okResult(200, "x")}, 200, "x", 3, false},
 	}
